--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+MODULES := scheduler daisylugd daisylug standin
+BIN     := bin
+TOOL    := GOWORK=off go tool -modfile=$(CURDIR)
+
+.PHONY: all build test race lint format generate demo processes bench capacity fuzz clean
+
+all: build
+
+# Builds the three programs into bin/.
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./daisylugd ./daisylug ./standin
+
+# Runs every test once, without the cache.
+test:
+	@for m in $(MODULES); do (cd $$m && go test -count=1 ./...) || exit 1; done
+
+# Runs the tests of the concurrent packages under the race detector.
+race:
+	@for m in $(MODULES); do (cd $$m && go test -race -short -count=1 ./...) || exit 1; done
+
+# Fails if the formatter or the linter has something to say.
+lint:
+	@for m in $(MODULES); do (cd $$m && $(TOOL)/tools/lint/go.mod golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+# Formats all code.
+format:
+	@for m in $(MODULES); do (cd $$m && $(TOOL)/tools/lint/go.mod golangci-lint fmt --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+# Generates Go code from the .proto files; the result is committed.
+generate:
+	cd scheduler/schema && $(TOOL)/tools/schema/go.mod buf generate
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/daisylugd/main.go
@@ -0,0 +1,4 @@
+// Command daisylugd is the entry daemon of daisylug.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is a small stand-in for the platform, for demos and tests.
+package main
+
+func main() {}
