--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,8 @@
 # Generates Go code from the .proto files; the result is committed.
 generate:
 	cd scheduler/schema && $(TOOL)/tools/schema/go.mod buf generate
+	cd daisylugd/settings && $(TOOL)/tools/schema/go.mod buf generate --path settings.proto
+	gofmt -w daisylugd/dispatch/settings_gen.go
 
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/daisylugd/dispatch/decoder.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"unicode/utf8"
+)
+
+// decoder reads request bodies strictly.
+type decoder struct {
+	limit int64
+}
+
+// decode reads the JSON body of r into v. Its errors are *Failure and name
+// the field that is wrong.
+func (d decoder) decode(r *http.Request, v any) error {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, d.limit))
+	if err != nil {
+		return bodyFailure(err)
+	}
+	if !utf8.Valid(body) {
+		return NewFieldFailure("body", "is not valid UTF-8")
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return jsonFailure(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return NewFieldFailure("body", "has data after the JSON value")
+	}
+	return nil
+}
+
+func bodyFailure(err error) *Failure {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		f := NewFailure(FailureSize, "body is larger than this instance accepts")
+		f.Field = "body"
+		return f
+	}
+	return NewFieldFailure("body", "could not be read").WithCause(err)
+}
+
+func jsonFailure(err error) *Failure {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		field := kind.Field
+		if field == "" {
+			field = "body"
+		}
+		return NewFieldFailure(field, "cannot be "+kind.Value)
+	}
+	const unknown = "json: unknown field "
+	if name, ok := strings.CutPrefix(err.Error(), unknown); ok {
+		return NewFieldFailure(strings.Trim(name, `"`), "is not a known field")
+	}
+	return NewFieldFailure("body", "is not valid JSON").WithCause(err)
+}
