--- /dev/null
+++ b/scheduler/platform/memory/objects.go
@@ -0,0 +1,43 @@
+package memory
+
+import (
+	"bytes"
+	"context"
+	"sync"
+
+	"daisylug.example/scheduler/platform"
+)
+
+// Objects is one view of an object store.
+type Objects struct {
+	*Injector
+	store *sync.Map // name to []byte
+}
+
+// NewObjects returns the first view of an empty object store.
+func NewObjects(seed uint64) *Objects {
+	return &Objects{Injector: NewInjector("objects", seed), store: &sync.Map{}}
+}
+
+// Put implements platform.Objects. A name keeps its first content; other
+// content under the same name is a conflict.
+func (o *Objects) Put(ctx context.Context, name string, content []byte) error {
+	return change(ctx, o.Injector, func() error {
+		stored, loaded := o.store.LoadOrStore(name, bytes.Clone(content))
+		if loaded && !bytes.Equal(stored.([]byte), content) {
+			return &platform.ConflictError{Keys: []string{name}}
+		}
+		return nil
+	})
+}
+
+// Get implements platform.Objects.
+func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	return call(ctx, o.Injector, false, func() ([]byte, error) {
+		stored, ok := o.store.Load(name)
+		if !ok {
+			return nil, &platform.NotFoundError{Kind: "object", Name: name}
+		}
+		return bytes.Clone(stored.([]byte)), nil
+	})
+}
--- /dev/null
+++ b/scheduler/platform/memory/table.go
@@ -0,0 +1,147 @@
+package memory
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"daisylug.example/scheduler/platform"
+)
+
+// Table is one view of a table.
+type Table struct {
+	*Injector
+	store *rows
+}
+
+// NewTable returns the first view of an empty table.
+func NewTable(seed uint64) *Table {
+	return &Table{
+		Injector: NewInjector("table", seed),
+		store:    &rows{byKey: map[string]platform.Row{}},
+	}
+}
+
+// Read implements platform.Table.
+func (t *Table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	return call(ctx, t.Injector, false, func() ([]platform.Row, error) {
+		return t.store.read(keys), nil
+	})
+}
+
+// Scan implements platform.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	return call(ctx, t.Injector, false, func() ([]platform.Row, error) {
+		return t.store.scan(prefix, after, limit), nil
+	})
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, tx platform.Transaction) error {
+	return change(ctx, t.Injector, func() error { return t.store.commit(tx) })
+}
+
+// Counts returns the numbers of rows read and transactions committed so far.
+func (t *Table) Counts() (reads, commits int) {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	return t.store.reads, t.store.commits
+}
+
+// rows is the content of a table.
+type rows struct {
+	mu      sync.Mutex
+	byKey   map[string]platform.Row
+	keys    []string // sorted
+	reads   int
+	commits int
+}
+
+func (r *rows) read(keys []string) []platform.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []platform.Row
+	for _, key := range keys {
+		if row, ok := r.byKey[key]; ok {
+			found = append(found, copyRow(row))
+		}
+	}
+	r.reads += len(found)
+	return found
+}
+
+func (r *rows) scan(prefix, after string, limit int) []platform.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []platform.Row
+	start, _ := slices.BinarySearch(r.keys, max(prefix, after))
+	for _, key := range r.keys[start:] {
+		if len(found) >= limit || !strings.HasPrefix(key, prefix) {
+			break
+		}
+		if key > after {
+			found = append(found, copyRow(r.byKey[key]))
+		}
+	}
+	r.reads += len(found)
+	return found
+}
+
+func (r *rows) commit(tx platform.Transaction) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if keys := r.conflicts(tx.Writes); len(keys) > 0 {
+		return &platform.ConflictError{Keys: keys}
+	}
+	for _, w := range tx.Writes {
+		r.apply(tx.Operation, w)
+	}
+	r.commits++
+	return nil
+}
+
+// conflicts returns the keys that are not at the expected version or that are
+// written twice.
+func (r *rows) conflicts(writes []platform.Write) []string {
+	var keys []string
+	seen := make(map[string]bool, len(writes))
+	for _, w := range writes {
+		if seen[w.Key] || r.byKey[w.Key].Version != w.Version {
+			keys = append(keys, w.Key)
+		}
+		seen[w.Key] = true
+	}
+	return keys
+}
+
+func (r *rows) apply(operation string, w platform.Write) {
+	at, exists := slices.BinarySearch(r.keys, w.Key)
+	switch {
+	case w.Delete && exists:
+		r.keys = slices.Delete(r.keys, at, at+1)
+		delete(r.byKey, w.Key)
+	case w.Delete:
+	default:
+		if !exists {
+			r.keys = slices.Insert(r.keys, at, w.Key)
+		}
+		r.byKey[w.Key] = copyRow(platform.Row{
+			Key:       w.Key,
+			Version:   w.Version + 1,
+			Operation: operation,
+			Value:     w.Value,
+		})
+	}
+}
+
+// copyRow returns a row that shares no memory with r.
+func copyRow(r platform.Row) platform.Row {
+	if len(r.Value) == 0 {
+		r.Value = nil
+		return r
+	}
+	r.Value = bytes.Clone(r.Value)
+	return r
+}
