Add exported API of the decision packages

The daemon is built against gang, guarantee, queue, quarantine and planner. Placement works; the other packages have thin bodies that decide nothing yet.

--- /dev/null
+++ b/scheduler/guarantee/errors.go
@@ -0,0 +1,63 @@
+package guarantee
+
+import (
+	"fmt"
+	"strings"
+
+	"daisylug.example/scheduler/gang"
+)
+
+// Shortage is a number of guaranteed shapes for which there is no room.
+type Shortage struct {
+	Team  string
+	Shape gang.Shape
+	Count int
+}
+
+func (s Shortage) String() string {
+	return fmt.Sprintf("%d of %s for team %s", s.Count, s.Shape, s.Team)
+}
+
+// InfeasibleError reports guarantees that do not fit the workers.
+type InfeasibleError struct {
+	Missing []Shortage
+	// Accelerators is the number of accelerators of the missing shapes.
+	Accelerators int
+}
+
+func (e *InfeasibleError) Error() string {
+	var parts []string
+	for _, m := range e.Missing {
+		parts = append(parts, m.String())
+	}
+	return "no room for guaranteed shapes: " + strings.Join(parts, ", ")
+}
+
+// BlockedError reports a cell that evicting borrowed work does not free.
+type BlockedError struct {
+	Cell Cell
+	// Worker is one that stays occupied or is down.
+	Worker string
+}
+
+func (e *BlockedError) Error() string {
+	return fmt.Sprintf("cell %s of team %s on rack %s is blocked on worker %s", e.Cell.Shape, e.Cell.Team, e.Cell.Rack, e.Worker)
+}
+
+// AdmissionError reports work that may not run on the given workers.
+type AdmissionError struct {
+	Job  string
+	Rack string
+	// Worker is the one without room.
+	Worker string
+	// Guaranteed is set when the room exists but is promised to other teams
+	// and the work must not be evicted.
+	Guaranteed bool
+}
+
+func (e *AdmissionError) Error() string {
+	if e.Guaranteed {
+		return fmt.Sprintf("job %s must not be evicted and worker %s of rack %s is promised to other teams", e.Job, e.Worker, e.Rack)
+	}
+	return fmt.Sprintf("job %s does not fit worker %s of rack %s", e.Job, e.Worker, e.Rack)
+}
--- /dev/null
+++ b/scheduler/guarantee/work.go
@@ -0,0 +1,66 @@
+// Package guarantee derives from the teams' guarantees a plan that sets aside
+// workers for each guaranteed shape, and decides what to evict so that a team
+// gets its shape. It consists of pure functions over immutable values.
+package guarantee
+
+import (
+	"time"
+
+	"daisylug.example/scheduler/gang"
+)
+
+// Guarantee is a number of shapes that a team can always have in a data
+// centre, all at once.
+type Guarantee struct {
+	Team  string
+	Shape gang.Shape
+	Count int
+}
+
+// Kind tells whether work can be evicted in favour of a guarantee.
+type Kind string
+
+// Kinds of running work.
+const (
+	// KindGuaranteed is work that uses one of its team's cells. It is never
+	// evicted in favour of another team.
+	KindGuaranteed Kind = "guaranteed"
+	// KindBorrowed is all other work.
+	KindBorrowed Kind = "borrowed"
+)
+
+// Work is a running gang.
+type Work struct {
+	Job   string
+	Team  string
+	Rack  string
+	Shape gang.Shape
+	// Workers are the gang's workers by position on the rack.
+	Workers gang.Set
+	Started time.Time
+	// Saved is when the work was last checkpointed; zero if never.
+	Saved time.Time
+	// Checkpoint is the expected duration of a checkpoint; zero means that the
+	// work cannot be checkpointed.
+	Checkpoint time.Duration
+	// Fixed marks work that must not run again and therefore should not be
+	// evicted. It is admitted only to its team's cells and to capacity that no
+	// guarantee claims.
+	Fixed bool
+	// Stopping marks work that is being evicted.
+	Stopping bool
+}
+
+// Lost returns the accelerator-seconds that are lost if the work is evicted
+// now, and whether it can be checkpointed within the grace.
+func (w Work) Lost(now time.Time, grace time.Duration) (float64, bool) {
+	size := float64(w.Shape.Total())
+	if w.Checkpoint > 0 && w.Checkpoint <= grace {
+		return size * w.Checkpoint.Seconds(), true
+	}
+	since := w.Started
+	if w.Saved.After(since) {
+		since = w.Saved
+	}
+	return size * max(0, now.Sub(since).Seconds()), false
+}
--- /dev/null
+++ b/scheduler/planner/planner.go
@@ -0,0 +1,132 @@
+// Package planner combines the decision packages into the decisions for one
+// data centre. Decide reads its input and the time in it, and nothing else.
+package planner
+
+import (
+	"time"
+
+	"daisylug.example/scheduler/gang"
+	"daisylug.example/scheduler/guarantee"
+	"daisylug.example/scheduler/quarantine"
+	"daisylug.example/scheduler/queue"
+)
+
+// Input is what decisions depend on. Decide changes none of it.
+type Input struct {
+	Now     time.Time
+	Pending *queue.Queue
+	// Racks hold the state of all workers: Free as reported by the workers and
+	// adjusted for starts under way. Guaranteed and drains are set by Decide.
+	Racks []gang.Rack
+	// Running is all running work, including work that is starting or being
+	// evicted.
+	Running []Running
+	Plan    guarantee.Plan
+	// Estimator and Book may be nil.
+	Estimator *queue.Estimator
+	Book      *quarantine.Book
+	// Holds are those of the previous result, without jobs that have started or
+	// were cancelled.
+	Holds []Hold
+}
+
+// Running is a running gang and the job it runs.
+type Running struct {
+	guarantee.Work
+	Request queue.Job
+}
+
+// Start tells to start a job on free workers.
+type Start struct {
+	Job     queue.Job
+	Rack    string
+	Workers []string
+	Kind    guarantee.Kind
+}
+
+// Preempt tells to checkpoint and stop gangs so that a job can start.
+type Preempt struct {
+	// Job is the one that needs the room. It starts in a later round through
+	// its hold.
+	Job       string
+	Rack      string
+	Evictions []guarantee.Eviction
+	// Deadline is when the evicted gangs must have stopped, whether their
+	// checkpoint has ended or not.
+	Deadline time.Time
+}
+
+// Hold keeps workers of a rack for a waiting job.
+type Hold struct {
+	Job     string
+	Rack    string
+	Workers []string
+	Shape   gang.Shape
+	Kind    guarantee.Kind
+	// Since is when the hold began.
+	Since time.Time
+	// Until is when the job is expected to start. Work that ends before then
+	// may still start on the held workers.
+	Until time.Time
+	// Preempting is set once the running work was told to stop.
+	Preempting bool
+}
+
+// Refusal is a pending job that can never run.
+type Refusal struct {
+	Job   queue.Job
+	Error *queue.RefusedError
+}
+
+// Result is the decisions of one round, to be carried out in the order of the
+// fields.
+type Result struct {
+	Refusals []Refusal
+	Preempts []Preempt
+	Starts   []Start
+	// Holds are the holds in force, to be passed to the next round.
+	Holds []Hold
+}
+
+// Options sets the policy of a site.
+type Options struct {
+	Weights gang.Weights
+	// Grace is the time that evicted work has for its checkpoint.
+	Grace time.Duration
+	// Patience is how long a large gang waits before a rack is drained for it.
+	Patience time.Duration
+	// Holds is the largest number of racks drained at a time.
+	Holds int
+	// Starts is the largest number of starts in one round.
+	Starts int
+}
+
+// DefaultOptions returns the options for the given weights.
+func DefaultOptions(w gang.Weights) Options {
+	return Options{Weights: w, Grace: 2 * time.Second, Patience: 10 * time.Minute, Holds: 4, Starts: 256}
+}
+
+// Planner makes the decisions for one data centre.
+type Planner struct {
+	options Options
+}
+
+// New returns a planner with the given options.
+func New(o Options) *Planner {
+	return &Planner{options: o}
+}
+
+// Decide returns the decisions of one round. The caller carries them out and
+// calls it again when work arrives, ends or is cancelled, when a worker
+// changes, and at least once a second while anything is pending.
+func (p *Planner) Decide(in Input) Result {
+	_ = p.options
+	return Result{Holds: in.Holds}
+}
+
+// Refuse returns *queue.RefusedError if the job can never run on the racks
+// under the plan, whatever else runs there.
+func Refuse(j queue.Job, racks []gang.Rack, plan guarantee.Plan, now time.Time) error {
+	_, _, _, _ = j, racks, plan, now
+	return nil
+}
--- /dev/null
+++ b/scheduler/queue/job.go
@@ -0,0 +1,86 @@
+// Package queue orders the pending work of a data centre and learns run times.
+// Its results depend only on the calls made and the times passed to them.
+package queue
+
+import (
+	"fmt"
+	"time"
+
+	"daisylug.example/scheduler/gang"
+)
+
+// Class is the latency class of a job.
+type Class int
+
+// Classes, most urgent first.
+const (
+	ClassQuick Class = iota
+	ClassPlanned
+	ClassBackground
+)
+
+// Job is a pending job.
+type Job struct {
+	ID       string
+	Team     string
+	Template string
+	Class    Class
+	// Priority is that of the team; higher goes first.
+	Priority int
+	Shape    gang.Shape
+	Accepted time.Time
+	// Deadline is when the result becomes useless; zero means never.
+	Deadline time.Time
+	// Declared is the declared run time on a worker of speed 1.
+	Declared time.Duration
+	// Remaining is the share of the work not yet done, from 0 to 1; zero counts
+	// as 1. It is less than 1 after a checkpoint.
+	Remaining float64
+	// Fixed marks a job that must not run again and therefore should not be
+	// evicted.
+	Fixed bool
+	// Avoid are workers on which the job failed.
+	Avoid []string
+}
+
+// Reason tells why a job is refused.
+type Reason string
+
+// Reasons for a refusal.
+const (
+	// ReasonShape means that the shape is out of range.
+	ReasonShape Reason = "shape"
+	// ReasonRack means that no rack has enough workers of that size.
+	ReasonRack Reason = "rack"
+	// ReasonGuarantee means that the job must not be evicted and all racks that
+	// could hold it are promised to other teams.
+	ReasonGuarantee Reason = "guarantee"
+	// ReasonDeadline means that the deadline has passed.
+	ReasonDeadline Reason = "deadline"
+	// ReasonFailing means that the job fails on healthy workers.
+	ReasonFailing Reason = "failing"
+)
+
+// RefusedError reports a job that can never run.
+type RefusedError struct {
+	Job    string
+	Reason Reason
+	Shape  gang.Shape
+	// Largest is the largest number of suitable workers on one rack.
+	Largest int
+}
+
+func (e *RefusedError) Error() string {
+	switch e.Reason {
+	case ReasonShape:
+		return fmt.Sprintf("job %s: shape %s is out of range", e.Job, e.Shape)
+	case ReasonRack:
+		return fmt.Sprintf("job %s: shape %s fits no rack, at most %d workers of a rack are large enough", e.Job, e.Shape, e.Largest)
+	case ReasonGuarantee:
+		return fmt.Sprintf("job %s: shape %s fits only racks promised to other teams", e.Job, e.Shape)
+	case ReasonDeadline:
+		return fmt.Sprintf("job %s: the deadline has passed", e.Job)
+	default:
+		return fmt.Sprintf("job %s: fails on healthy workers", e.Job)
+	}
+}
