--- /dev/null
+++ b/scheduler/member/errors.go
@@ -0,0 +1,80 @@
+package member
+
+import "fmt"
+
+// NotSentError reports a call whose handler did not run and will not run.
+type NotSentError struct {
+	Instance string
+	Method   string
+	Cause    error
+}
+
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("call of %s on instance %s was not run: %v", e.Method, e.Instance, e.Cause)
+}
+
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// UnknownError reports a call whose handler may or may not have run.
+type UnknownError struct {
+	Instance string
+	Method   string
+	Cause    error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("outcome of %s on instance %s is unknown: %v", e.Method, e.Instance, e.Cause)
+}
+
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// RemoteError reports a call whose handler ran and returned an error.
+type RemoteError struct {
+	Instance string
+	Method   string
+	// Kind is the result of the method Kind of the handler's error, if it has one.
+	Kind    string
+	Message string
+}
+
+func (e *RemoteError) Error() string {
+	return fmt.Sprintf("%s on instance %s failed: %s", e.Method, e.Instance, e.Message)
+}
+
+// RefusedError is the cause of a NotSentError when the called instance
+// refused to run the handler.
+type RefusedError struct {
+	Kind    string
+	Message string
+}
+
+func (e *RefusedError) Error() string { return e.Message }
+
+// UnreachableError reports an instance without a session.
+type UnreachableError struct {
+	Instance string
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("no session with instance %s", e.Instance)
+}
+
+// SizeError reports a message above the limit.
+type SizeError struct {
+	Size  int
+	Limit int
+}
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("message of %d bytes is above the limit of %d bytes", e.Size, e.Limit)
+}
+
+// HandshakeError reports a session whose other side is not the expected one.
+type HandshakeError struct {
+	Address string
+	Reason  string
+}
+
+func (e *HandshakeError) Error() string {
+	return fmt.Sprintf("handshake with %s failed: %s", e.Address, e.Reason)
+}
--- /dev/null
+++ b/scheduler/rack/errors.go
@@ -0,0 +1,107 @@
+package rack
+
+import (
+	"fmt"
+
+	"daisylug.example/scheduler/platform"
+)
+
+// Ran tells whether a refused or failed gang has run.
+type Ran string
+
+// Values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// NotOwnerError reports an action on a rack that the instance does not own.
+// Nothing was sent to a worker.
+type NotOwnerError struct {
+	Rack string
+	// Generation is the one in force, if known.
+	Generation platform.Generation
+}
+
+func (e *NotOwnerError) Error() string {
+	return fmt.Sprintf("instance does not own rack %s, generation %d of %s is in force",
+		e.Rack, e.Generation.Number, e.Generation.Holder)
+}
+
+// LostError ends Owner.Run when a worker obeys a higher generation.
+type LostError struct {
+	Rack string
+	Own  platform.Generation
+	// Denied is the worker's denial.
+	Denied *platform.DeniedError
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("rack %s is lost under generation %d: %v", e.Rack, e.Own.Number, e.Denied)
+}
+
+func (e *LostError) Unwrap() error { return e.Denied }
+
+// LeaseError reports an action on a worker whose command lease has ended.
+// Nothing was sent.
+type LeaseError struct {
+	Worker string
+}
+
+func (e *LeaseError) Error() string {
+	return fmt.Sprintf("command lease on worker %s has ended", e.Worker)
+}
+
+// StartError reports a gang that is not running after a call of Start.
+type StartError struct {
+	Job     string
+	Attempt int
+	Worker  string
+	// Ran is RanNo if no member was committed, RanYes if some ran and all
+	// have been stopped, and RanUnknown if some may still run; they are
+	// stopped when their worker answers again.
+	Ran   Ran
+	Cause error
+}
+
+func (e *StartError) Error() string {
+	return fmt.Sprintf("attempt %d of job %s did not start on worker %s (ran: %s): %v",
+		e.Attempt, e.Job, e.Worker, e.Ran, e.Cause)
+}
+
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// StopError reports a gang of which some members could not be stopped yet.
+// The owner continues to stop them.
+type StopError struct {
+	Job    string
+	Worker string
+	Cause  error
+}
+
+func (e *StopError) Error() string {
+	return fmt.Sprintf("job %s is not stopped on worker %s: %v", e.Job, e.Worker, e.Cause)
+}
+
+func (e *StopError) Unwrap() error { return e.Cause }
+
+// RequestError reports a gang request that can never be carried out.
+type RequestError struct {
+	Field  string
+	Reason string
+}
+
+func (e *RequestError) Error() string {
+	return fmt.Sprintf("gang request: %s %s", e.Field, e.Reason)
+}
+
+// DuplicateError reports a job of which an attempt is already on the rack.
+type DuplicateError struct {
+	Job     string
+	Attempt int
+}
+
+func (e *DuplicateError) Error() string {
+	return fmt.Sprintf("attempt %d of job %s is on the rack", e.Attempt, e.Job)
+}
