--- /dev/null
+++ b/scheduler/quote/quote.go
@@ -0,0 +1,173 @@
+// Package quote is the path of quick requests: admission, queueing, routing to
+// workers, retries within a budget, replacement of silent connections, and
+// draining.
+//
+// Router decides what is sent where; Pool is a platform.Fleet over connections
+// that it probes and replaces. The router works with any platform.Fleet.
+package quote
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"daisylug.example/scheduler/platform"
+)
+
+// Class is the latency class of a request.
+type Class string
+
+// Classes, most urgent first.
+const (
+	ClassQuick      Class = "quick"
+	ClassPlanned    Class = "planned"
+	ClassBackground Class = "background"
+)
+
+// Request is a quick request from a caller.
+type Request struct {
+	// ID identifies the request in claims and answers.
+	ID       string
+	Team     string
+	Template string
+	// Class defaults to ClassQuick.
+	Class Class
+	// Deadline is when the answer becomes useless. The context's deadline
+	// applies if it is earlier or if this one is zero.
+	Deadline time.Time
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Forwarded marks a request from another data centre's router. It is not
+	// forwarded again.
+	Forwarded bool
+	Payload   []byte
+}
+
+// Answer is the verified answer to a request.
+type Answer struct {
+	// Worker is the name of the worker that ran the request.
+	Worker string
+	// Failed is set when the request ran and failed.
+	Failed  bool
+	Content []byte
+	// Attempts is the number of times the request was sent.
+	Attempts int
+}
+
+// Ran tells whether a refused request has run.
+type Ran string
+
+// Values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons of a refusal.
+const (
+	// ReasonInvalid: the request lacks an id or names an unknown class.
+	ReasonInvalid Reason = "invalid"
+	// ReasonDraining: the instance is shutting down.
+	ReasonDraining Reason = "draining"
+	// ReasonOverload: the class or team is shed.
+	ReasonOverload Reason = "overload"
+	// ReasonDeadline: the deadline cannot be met or has passed.
+	ReasonDeadline Reason = "deadline"
+	// ReasonWorkers: no worker is available to this instance.
+	ReasonWorkers Reason = "workers"
+	// ReasonClaim: the claim of a non-idempotent request was not recorded.
+	ReasonClaim Reason = "claim"
+	// ReasonDuplicate: a non-idempotent request was claimed before.
+	ReasonDuplicate Reason = "duplicate"
+	// ReasonBudget: the retry budget of the team or instance is used up.
+	ReasonBudget Reason = "budget"
+	// ReasonLost: the answer was lost and the request may not be repeated.
+	ReasonLost Reason = "lost"
+	// ReasonCancelled: the caller has given up.
+	ReasonCancelled Reason = "cancelled"
+	// ReasonForward: the other data centre did not answer.
+	ReasonForward Reason = "forward"
+)
+
+// RefusedError reports a request without an answer.
+type RefusedError struct {
+	Reason Reason
+	// Ran is RanNo only if nothing was sent, or each worker it was sent to
+	// has confirmed that the attempt never started and never will.
+	Ran   Ran
+	Cause error
+}
+
+func (e *RefusedError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("request refused: %s (ran: %s)", e.Reason, e.Ran)
+	}
+	return fmt.Sprintf("request refused: %s (ran: %s): %v", e.Reason, e.Ran, e.Cause)
+}
+
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
+// Team is what the router needs to know of a team.
+type Team struct {
+	Name string
+	// Weight is the share of capacity relative to other teams; at least 1.
+	Weight int
+	// Guarantee is the number of quick slots in the data centre that the team
+	// can always have, over all instances.
+	Guarantee int
+}
+
+// View is the instance's current view of its data centre. Its methods return
+// at once; they are called every Options.Refresh. The returned slices are not
+// modified afterwards.
+type View interface {
+	// Workers returns the workers of the own data centre, live and leaving.
+	Workers() []platform.WorkerInfo
+
+	// Instances returns the live instances that share these workers,
+	// including this one.
+	Instances() []platform.Instance
+
+	// Teams returns the teams with their weights and guarantees. A team that
+	// is not listed has weight 1 and no guarantee.
+	Teams() []Team
+}
+
+// Claimer records non-idempotent requests durably.
+type Claimer interface {
+	// Claim records that the request is about to be sent. It returns
+	// *platform.ConflictError if the request was claimed before. After any
+	// error the request is not sent.
+	Claim(ctx context.Context, id string) error
+
+	// Finish records the outcome of a claimed request. RanNo releases the
+	// claim; RanUnknown keeps it for good.
+	Finish(ctx context.Context, id string, ran Ran) error
+}
+
+// Forwarder sends a request to the router of another data centre.
+type Forwarder interface {
+	// Forward returns the other router's answer or its *RefusedError. It
+	// returns *platform.UnavailableError if nothing was sent. It does not
+	// retry.
+	Forward(ctx context.Context, r Request) (Answer, error)
+}
+
+// Dialer opens connections to workers.
+type Dialer interface {
+	Dial(ctx context.Context, worker platform.WorkerInfo) (Conn, error)
+}
+
+// Conn is one connection to a worker; it carries one call at a time. Calls
+// return soon after their context is done or Close is called. The methods
+// keep the contract of platform.Worker.
+type Conn interface {
+	Run(ctx context.Context, r platform.Request) (platform.Answer, error)
+	Revoke(ctx context.Context, ref platform.RequestRef) (platform.Outcome, error)
+	Probe(ctx context.Context) (platform.Load, error)
+	Close() error
+}
--- /dev/null
+++ b/scheduler/quote/status.go
@@ -0,0 +1,59 @@
+package quote
+
+import "time"
+
+// Status is a snapshot of a router.
+type Status struct {
+	Draining bool `json:"draining"`
+	// Slots is this instance's share of the workers' slots.
+	Slots   int         `json:"slots"`
+	Running int         `json:"running"`
+	Queue   QueueStatus `json:"queue"`
+	// Budget is the number of retries the instance may make now.
+	Budget  float64        `json:"budget"`
+	Teams   []TeamStatus   `json:"teams"`
+	Workers []WorkerStatus `json:"workers"`
+}
+
+// QueueStatus is the state of the queue and its limiter.
+type QueueStatus struct {
+	Length int `json:"length"`
+	Limit  int `json:"limit"`
+	// Overloaded is set while the queue has stood for longer than
+	// Options.Interval.
+	Overloaded bool `json:"overloaded"`
+	// AgeLimit is the present bound on the time in the queue.
+	AgeLimit time.Duration `json:"agelimit"`
+	// Wait is the expected queueing delay of a new request.
+	Wait time.Duration `json:"wait"`
+}
+
+// TeamStatus is the state of one team.
+type TeamStatus struct {
+	Name    string  `json:"name"`
+	Share   float64 `json:"share"`
+	Queued  int     `json:"queued"`
+	Running int     `json:"running"`
+	Budget  float64 `json:"budget"`
+}
+
+// WorkerStatus is what the router has learned of one worker.
+type WorkerStatus struct {
+	Name    string `json:"name"`
+	Slots   int    `json:"slots"`
+	Running int    `json:"running"`
+	// Slowness is the service time relative to the templates' means.
+	Slowness float64 `json:"slowness"`
+	// Failures is the recent share of failed attempts.
+	Failures float64 `json:"failures"`
+	// Ejected is when a worker that fails is tried again.
+	Ejected time.Time `json:"ejected,omitzero"`
+	Leaving bool      `json:"leaving"`
+}
+
+// PoolStatus is a snapshot of a pool.
+type PoolStatus struct {
+	Open     int `json:"open"`
+	Idle     int `json:"idle"`
+	Replaced int `json:"replaced"`
+}
