dispatch: add the planner of a data centre

Adds the queue of open jobs, the view of the racks that their owners publish, and the actions that start, evict and settle gangs.

--- /dev/null
+++ b/daisylugd/dispatch/action.go
@@ -0,0 +1,248 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"daisylug.example/scheduler/ledger"
+	"daisylug.example/scheduler/planner"
+	"daisylug.example/scheduler/schema"
+)
+
+const (
+	// launchWait bounds the start of a gang: claim, reservation and commit.
+	launchWait = 8 * time.Second
+	// haltWait bounds the call that stops cancelled work.
+	haltWait = 5 * time.Second
+	// recordWait bounds the writes that follow a decision.
+	recordWait = 30 * time.Second
+)
+
+// carryOut starts the actions of one round. The caller holds the lock; the
+// actions run in goroutines of their own.
+func (s *scheduler) carryOut(ctx context.Context, result planner.Result, now time.Time) {
+	for _, r := range result.Refusals {
+		s.refuse(ctx, r)
+	}
+	for _, p := range result.Preempts {
+		s.preempt(ctx, p, now)
+	}
+	for _, st := range result.Starts {
+		s.start(ctx, st, now)
+	}
+}
+
+// refuse ends a job that can never run.
+func (s *scheduler) refuse(ctx context.Context, r planner.Refusal) {
+	s.pending.Remove(r.Job.ID)
+	job := s.records[r.Job.ID]
+	delete(s.records, r.Job.ID)
+	if job == nil {
+		return
+	}
+	s.log.Info(EventRefuse, "job", r.Job.ID, "team", r.Job.Team, "reason", r.Error.Reason)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, recordWait)
+		defer cancel()
+		// A claim makes the attempt that the outcome belongs to; nothing runs.
+		attempt := job.Attempt + 1
+		if _, err := s.ledger.Claim(ctx, job.Id, attempt, "", job.Centre); err != nil {
+			s.log.V(1).Info(EventRetry, "what", "refusal", "job", job.Id, "err", err)
+			return
+		}
+		outcome := ledger.Outcome{Failed: true, Reason: r.Error.Error()}
+		if _, err := s.ledger.Finish(ctx, job.Id, attempt, outcome, nil); err != nil {
+			s.log.Error(err, EventRetry, "what", "refusal", "job", job.Id)
+		}
+	}()
+}
+
+// start asks the rack owner to start a job.
+func (s *scheduler) start(ctx context.Context, st planner.Start, now time.Time) {
+	job := s.records[st.Job.ID]
+	if job == nil {
+		s.pending.Remove(st.Job.ID)
+		return
+	}
+	s.pending.Remove(st.Job.ID)
+	s.starting[st.Job.ID] = starting{start: st, attempt: job.Attempt + 1, deadline: now.Add(launchWait + settleAfter)}
+	m := &schema.Launch{
+		Job:      job,
+		Rack:     st.Rack,
+		Workers:  st.Workers,
+		Borrowed: st.Kind == "borrowed",
+	}
+	if d := s.estimator.Estimate(st.Job).Median; d > 0 {
+		m.Ends = timestamppb.New(now.Add(d))
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, launchWait)
+		defer cancel()
+		s.launched(job, s.caller.launch(ctx, m))
+	}()
+}
+
+// launched takes note of the answer of the rack owner.
+func (s *scheduler) launched(job *schema.Job, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, ok := s.starting[job.Id]
+	if !ok {
+		return
+	}
+	defer s.wake()
+	if err == nil {
+		st.launched = true
+		st.deadline = time.Now().Add(settleAfter)
+		s.starting[job.Id] = st
+		claimed := cloneJob(job)
+		claimed.State = schema.State_STATE_CLAIMED
+		claimed.Attempt = st.attempt
+		claimed.Rack = st.start.Rack
+		s.records[job.Id] = claimed
+		s.log.V(1).Info(EventLaunch, "job", job.Id, "team", job.Team, "rack", st.start.Rack, "attempt", st.attempt)
+		return
+	}
+	s.log.Info(EventRetry, "what", "start", "job", job.Id, "team", job.Team, "rack", st.start.Rack, "err", err)
+	delete(s.starting, job.Id)
+	var unstarted *UnstartedError
+	if errors.As(err, &unstarted) {
+		s.requeueLocked(job, unstarted)
+		return
+	}
+	// The outcome is not known here. The record decides: the scan finds the
+	// job queued again, or reconcile finds it claimed and on no worker.
+	delete(s.records, job.Id)
+}
+
+// requeueLocked puts back a job whose start did not happen.
+func (s *scheduler) requeueLocked(job *schema.Job, reason *UnstartedError) {
+	if reason.Gone {
+		delete(s.records, job.Id)
+		return
+	}
+	again := cloneJob(job)
+	again.Attempt = reason.Attempt
+	again.State = schema.State_STATE_QUEUED
+	s.records[job.Id] = again
+	s.pending.Add(s.request(again))
+}
+
+// preempt asks the rack owner to checkpoint and stop gangs.
+func (s *scheduler) preempt(ctx context.Context, p planner.Preempt, now time.Time) {
+	for _, e := range p.Evictions {
+		s.evict(ctx, e.Work.Job, p.Rack, p.Deadline, now)
+	}
+}
+
+func (s *scheduler) evict(ctx context.Context, id, rack string, deadline, now time.Time) {
+	if _, busy := s.stopping[id]; busy {
+		return
+	}
+	job := s.records[id]
+	if job == nil {
+		return
+	}
+	s.stopping[id] = now
+	s.log.Info(EventEvict, "job", id, "team", job.Team, "rack", rack)
+	m := &schema.Evict{Rack: rack, Job: id, Deadline: timestamppb.New(deadline)}
+	go func() {
+		call, cancel := context.WithDeadline(ctx, deadline.Add(haltWait))
+		defer cancel()
+		evicted, err := s.caller.evict(call, m)
+		s.evicted(ctx, job, evicted, err)
+	}()
+}
+
+// evicted puts an evicted job back in the queue, first in memory, so that it
+// can continue while the table is away, then in its record.
+func (s *scheduler) evicted(ctx context.Context, job *schema.Job, m *schema.Evicted, err error) {
+	s.mu.Lock()
+	delete(s.stopping, job.Id)
+	s.wake()
+	if err != nil {
+		s.mu.Unlock()
+		s.log.Info(EventRetry, "what", "eviction", "job", job.Id, "err", err)
+		return
+	}
+	again := cloneJob(job)
+	again.State = schema.State_STATE_QUEUED
+	again.Checkpoints = m.Checkpoints
+	again.Rack = ""
+	s.records[job.Id] = again
+	s.shares[job.Id] = m.Share
+	s.pending.Add(s.request(again))
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	cause := ledger.Evicted{Checkpoints: m.Checkpoints}
+	if _, err := s.ledger.Requeue(ctx, job.Id, job.Attempt, cause); err != nil {
+		s.log.V(1).Info(EventRetry, "what", "record of eviction", "job", job.Id, "err", err)
+	}
+}
+
+// reconcile finds claimed jobs that are on no worker although the whole rack
+// answers, because their owner died between the claim and the start. The
+// caller holds the lock.
+func (s *scheduler) reconcile(ctx context.Context, now time.Time) {
+	for id, job := range s.records {
+		if job.State != schema.State_STATE_CLAIMED && job.State != schema.State_STATE_RUNNING {
+			continue
+		}
+		if _, busy := s.starting[id]; busy || s.present(job) {
+			delete(s.missing, id)
+			continue
+		}
+		since, seen := s.missing[id]
+		if !seen {
+			s.missing[id] = now
+			continue
+		}
+		if now.Sub(since) >= orphanAfter {
+			delete(s.missing, id)
+			delete(s.records, id)
+			s.orphan(ctx, job)
+		}
+	}
+}
+
+// present reports whether a claimed job may still be on its rack.
+func (s *scheduler) present(job *schema.Job) bool {
+	p, ok := s.board.get(job.Rack)
+	if !ok {
+		return false
+	}
+	for _, g := range p.rack.Gangs {
+		if g.Job == job.Id {
+			return true
+		}
+	}
+	for _, place := range p.rack.Places {
+		if !place.Reachable {
+			return true
+		}
+	}
+	return false
+}
+
+// orphan ends the attempt of a claimed job that is on no worker.
+func (s *scheduler) orphan(ctx context.Context, job *schema.Job) {
+	s.log.Info(EventOrphan, "job", job.Id, "team", job.Team, "rack", job.Rack, "attempt", job.Attempt)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, recordWait)
+		defer cancel()
+		const reason = "the rack owner stopped between claim and start"
+		var err error
+		if job.Idempotent {
+			_, err = s.ledger.Requeue(ctx, job.Id, job.Attempt, ledger.Lost{Reason: reason})
+		} else {
+			_, err = s.ledger.MarkUnknown(ctx, job.Id, job.Attempt, reason)
+		}
+		if err != nil {
+			s.log.V(1).Info(EventRetry, "what", "lost attempt", "job", job.Id, "err", err)
+		}
+	}()
+}
--- /dev/null
+++ b/daisylugd/dispatch/backlog.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"daisylug.example/scheduler/gang"
+	"daisylug.example/scheduler/quarantine"
+	"daisylug.example/scheduler/queue"
+	"daisylug.example/scheduler/schema"
+)
+
+// offer adds accepted jobs. It returns *RoleError on an instance that is not
+// the planner.
+func (s *scheduler) offer(jobs []*schema.Job) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.active {
+		return &RoleError{Role: "the planner of " + s.self.DataCentre}
+	}
+	for _, job := range jobs {
+		s.adopt(job)
+	}
+	s.wake()
+	return nil
+}
+
+// adopt takes a record that is newer than the one known.
+func (s *scheduler) adopt(job *schema.Job) {
+	known, ok := s.records[job.Id]
+	if ok && !newer(job, known) {
+		return
+	}
+	s.records[job.Id] = job
+	if job.State != schema.State_STATE_QUEUED {
+		s.pending.Remove(job.Id)
+		return
+	}
+	if _, busy := s.starting[job.Id]; busy {
+		return
+	}
+	s.pending.Add(s.request(job))
+}
+
+// newer reports whether job is a later state of the same job than known.
+func newer(job, known *schema.Job) bool {
+	if job.Attempt != known.Attempt {
+		return job.Attempt > known.Attempt
+	}
+	return rank(job) > rank(known)
+}
+
+// rank orders the states of one attempt. A record goes back to queued after
+// its attempt has been claimed, which the operation id tells apart.
+func rank(job *schema.Job) int {
+	switch job.State {
+	case schema.State_STATE_QUEUED:
+		if job.Attempt == 0 {
+			return 0
+		}
+		return 3
+	case schema.State_STATE_CLAIMED:
+		return 1
+	case schema.State_STATE_RUNNING:
+		return 2
+	default:
+		return 4
+	}
+}
+
+// withdraw forgets cancelled jobs and returns those that may be running.
+func (s *scheduler) withdraw(ids []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var running []string
+	for _, id := range ids {
+		s.pending.Remove(id)
+		s.book.Forget(id)
+		if _, busy := s.starting[id]; busy {
+			running = append(running, id)
+		}
+		delete(s.records, id)
+		s.dropHold(id)
+	}
+	s.wake()
+	return running
+}
+
+func (s *scheduler) dropHold(job string) {
+	kept := s.holds[:0:0]
+	for _, h := range s.holds {
+		if h.Job != job {
+			kept = append(kept, h)
+		}
+	}
+	s.holds = kept
+}
+
+// ended learns from the end of an attempt.
+func (s *scheduler) ended(m *schema.Ended) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.starting, m.Job)
+	delete(s.stopping, m.Job)
+	job := s.records[m.Job]
+	if job == nil {
+		return
+	}
+	s.learn(job, m)
+	if m.Again {
+		again := cloneJob(job)
+		again.State = schema.State_STATE_QUEUED
+		again.Attempt = m.Attempt
+		s.records[m.Job] = again
+		s.pending.Add(s.request(again))
+	} else {
+		delete(s.records, m.Job)
+		delete(s.shares, m.Job)
+		s.book.Forget(m.Job)
+	}
+	s.wake()
+}
+
+// learn records run times, worker speeds and failures.
+func (s *scheduler) learn(job *schema.Job, m *schema.Ended) {
+	end := m.Ended.AsTime()
+	for _, w := range m.Workers {
+		failed := w == m.Failed
+		if failed || m.Done {
+			s.book.Record(quarantine.Outcome{
+				Worker: w,
+				Job:    job.Id,
+				Source: job.Team + "/" + job.Template,
+				Failed: failed,
+				At:     end,
+			})
+		}
+	}
+	if !m.Done || m.Started == nil || s.shares[job.Id] > 0 {
+		return
+	}
+	ran := end.Sub(m.Started.AsTime())
+	expected := s.estimator.Estimate(s.request(job)).Median
+	speed := s.speeds.slowest(m.Workers)
+	s.estimator.Observe(job.Team, job.Template, time.Duration(float64(ran)*speed))
+	s.speeds.observe(m.Workers, expected, ran)
+}
+
+// request returns the planner's form of a job.
+func (s *scheduler) request(job *schema.Job) queue.Job {
+	r := queue.Job{
+		ID:        job.Id,
+		Team:      job.Team,
+		Template:  job.Template,
+		Class:     queueClass(job.Class),
+		Shape:     shapeOf(job.Shape),
+		Accepted:  job.Accepted.AsTime(),
+		Declared:  time.Duration(job.Estimate * float64(time.Second)),
+		Remaining: 1 - s.shares[job.Id],
+		Fixed:     !job.Idempotent,
+	}
+	if team, _ := s.catalogue.Snapshot().Team(job.Team); team != nil {
+		r.Priority = int(team.Priority)
+	}
+	if job.Deadline != nil {
+		r.Deadline = job.Deadline.AsTime()
+	}
+	return r
+}
+
+func queueClass(c schema.Class) queue.Class {
+	switch c {
+	case schema.Class_CLASS_QUICK:
+		return queue.ClassQuick
+	case schema.Class_CLASS_PLANNED:
+		return queue.ClassPlanned
+	default:
+		return queue.ClassBackground
+	}
+}
+
+func shapeOf(s *schema.Shape) gang.Shape {
+	return gang.Shape{Workers: int(s.GetWorkers()), Accelerators: int(s.GetAccelerators())}
+}
+
+func cloneJob(job *schema.Job) *schema.Job {
+	return proto.Clone(job).(*schema.Job)
+}
--- /dev/null
+++ b/daisylugd/dispatch/event.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import "fmt"
+
+// Events in the log.
+const (
+	EventStart      = "instance started"
+	EventReady      = "instance ready"
+	EventDrain      = "instance draining"
+	EventStop       = "instance stopped"
+	EventAccept     = "job accepted"
+	EventLaunch     = "job started"
+	EventRefuse     = "job refused"
+	EventEvict      = "job evicted"
+	EventRequeue    = "job queued again"
+	EventFinish     = "job ended"
+	EventUnknown    = "job outcome unknown"
+	EventCancel     = "jobs cancelled"
+	EventOrphan     = "claimed job is on no worker"
+	EventPlanner    = "planner role taken"
+	EventRetire     = "planner role given up"
+	EventConfig     = "configuration in force"
+	EventQuarantine = "worker quarantined"
+	EventBalance    = "balance spent"
+	EventRetry      = "will try again"
+)
+
+// Methods of calls between instances.
+const (
+	MethodOffer    = "offer"
+	MethodLaunch   = "launch"
+	MethodEvict    = "evict"
+	MethodHalt     = "halt"
+	MethodWithdraw = "withdraw"
+	MethodEnded    = "ended"
+	MethodSnapshot = "snapshot"
+	MethodStatus   = "status"
+	MethodQuote    = "quote"
+)
+
+// MessageError reports a message from another instance that cannot be read.
+type MessageError struct {
+	Kind  string
+	Cause error
+}
+
+func (e *MessageError) Error() string {
+	return fmt.Sprintf("message %s: %v", e.Kind, e.Cause)
+}
+
+func (e *MessageError) Unwrap() error { return e.Cause }
+
+// RoleError reports a call to an instance that does not hold the role.
+type RoleError struct {
+	Role string
+}
+
+func (e *RoleError) Error() string { return "this instance is not " + e.Role }
+
+// Kind names the error to the calling instance.
+func (e *RoleError) Kind() string { return "role" }
+
+// UnstartedError reports an attempt that did not start and never will.
+type UnstartedError struct {
+	// Attempt is the number of the latest attempt that is used up.
+	Attempt int32
+	// Gone is set when the job is not waiting any more, for example because it
+	// was cancelled.
+	Gone  bool
+	Cause error
+}
+
+func (e *UnstartedError) Error() string {
+	return fmt.Sprintf("attempt %d did not start: %v", e.Attempt, e.Cause)
+}
+
+func (e *UnstartedError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/daisylugd/dispatch/scheduler.go
@@ -0,0 +1,230 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"daisylug.example/scheduler/ledger"
+	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/planner"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/quarantine"
+	"daisylug.example/scheduler/queue"
+	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/template"
+)
+
+const (
+	// roundEvery is the interval between rounds while work is pending.
+	roundEvery = time.Second
+	// scanEvery is the interval between pages of the scan for jobs whose offer
+	// was lost.
+	scanEvery = 2 * time.Second
+	// scanPage and loadPage are the jobs read in one call: few during the
+	// continuous scan, so that it stays far below the table's 2,000 reads a
+	// second, and many when the role is taken over.
+	scanPage = 100
+	loadPage = 500
+	// settleAfter is how long a started gang may be missing from its rack's
+	// published state.
+	settleAfter = 5 * time.Second
+	// orphanAfter is how long a claimed job may be on no worker before its
+	// attempt counts as lost. It exceeds the takeover of a rack.
+	orphanAfter = 15 * time.Second
+)
+
+// scheduler decides for the pending jobs of the data centre while this instance
+// holds the planner role.
+type scheduler struct {
+	self      platform.Instance
+	group     *member.Group
+	ledger    *ledger.Ledger
+	catalogue *template.Catalogue
+	board     *board
+	planner   *planner.Planner
+	balances  balances
+	caller    caller
+	log       klog.Logger
+	wakes     chan struct{}
+
+	mu        sync.Mutex
+	active    bool
+	loaded    bool
+	cursor    string
+	scanned   time.Time
+	pending   *queue.Queue
+	records   map[string]*schema.Job
+	shares    map[string]float64
+	starting  map[string]starting
+	stopping  map[string]time.Time
+	missing   map[string]time.Time
+	holds     []planner.Hold
+	estimator *queue.Estimator
+	book      *quarantine.Book
+	speeds    speeds
+	plan      planCache
+}
+
+// starting is a gang that the rack's published state does not show yet.
+type starting struct {
+	start    planner.Start
+	attempt  int32
+	deadline time.Time
+	// launched is set when the rack owner has confirmed the start.
+	launched bool
+}
+
+// balances tells whether a team may use more accelerators.
+type balances interface {
+	admits(team string) bool
+}
+
+// caller carries decisions to the rack owners.
+type caller interface {
+	launch(ctx context.Context, m *schema.Launch) error
+	evict(ctx context.Context, m *schema.Evict) (*schema.Evicted, error)
+	halt(ctx context.Context, m *schema.Halt) error
+}
+
+func newScheduler(self platform.Instance, group *member.Group, l *ledger.Ledger, catalogue *template.Catalogue, b *board, p *planner.Planner, balances balances, c caller, log klog.Logger) *scheduler {
+	s := &scheduler{
+		self:      self,
+		group:     group,
+		ledger:    l,
+		catalogue: catalogue,
+		board:     b,
+		planner:   p,
+		balances:  balances,
+		caller:    c,
+		log:       log,
+		wakes:     make(chan struct{}, 1),
+		estimator: queue.NewEstimator(),
+		book:      quarantine.New(),
+		speeds:    make(speeds),
+	}
+	s.reset()
+	return s
+}
+
+// reset forgets all jobs. What was learned stays.
+func (s *scheduler) reset() {
+	s.loaded = false
+	s.cursor = ""
+	s.pending = queue.New()
+	s.records = make(map[string]*schema.Job)
+	s.shares = make(map[string]float64)
+	s.starting = make(map[string]starting)
+	s.stopping = make(map[string]time.Time)
+	s.missing = make(map[string]time.Time)
+	s.holds = nil
+}
+
+// wake causes a round soon.
+func (s *scheduler) wake() {
+	select {
+	case s.wakes <- struct{}{}:
+	default:
+	}
+}
+
+// run makes rounds until ctx ends.
+func (s *scheduler) run(ctx context.Context) error {
+	ticker := time.NewTicker(roundEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-s.wakes:
+		}
+		s.round(ctx, time.Now())
+	}
+}
+
+// round takes or gives up the role, reads what is due and decides.
+func (s *scheduler) round(ctx context.Context, now time.Time) {
+	if !s.holdsRole() {
+		return
+	}
+	s.scan(ctx, now)
+	s.mu.Lock()
+	s.reconcile(ctx, now)
+	in := s.input(now)
+	result := s.planner.Decide(in)
+	s.holds = result.Holds
+	s.carryOut(ctx, result, now)
+	s.mu.Unlock()
+}
+
+// planKey is the key whose owner is the planner of a data centre.
+func planKey(centre string) string { return "queue/" + centre }
+
+// holdsRole reports whether this instance is the planner, after taking or
+// giving up the role.
+func (s *scheduler) holdsRole() bool {
+	owner, ok := member.Owner(planKey(s.self.DataCentre), s.group.Local())
+	mine := ok && owner.Name == s.self.Name
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if mine != s.active {
+		s.active = mine
+		s.reset()
+		if mine {
+			s.log.Info(EventPlanner, "centre", s.self.DataCentre)
+		} else {
+			s.log.Info(EventRetire, "centre", s.self.DataCentre)
+		}
+	}
+	return mine
+}
+
+// scan reads pages of the open jobs: all of them after taking the role, then
+// one page every scanEvery.
+func (s *scheduler) scan(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	loaded, cursor := s.loaded, s.cursor
+	due := now.Sub(s.scanned) >= scanEvery
+	if due {
+		s.scanned = now
+	}
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	for {
+		size := scanPage
+		if !loaded {
+			size = loadPage
+		}
+		jobs, next, err := s.readPage(ctx, cursor, size)
+		if err != nil {
+			s.log.V(1).Info(EventRetry, "what", "scan of open jobs", "err", err)
+			return
+		}
+		s.mu.Lock()
+		for _, job := range jobs {
+			s.adopt(job)
+		}
+		s.cursor = next
+		s.loaded = s.loaded || next == ""
+		s.mu.Unlock()
+		if loaded || next == "" {
+			return
+		}
+		cursor = next
+	}
+}
+
+// scanWait bounds one read of open jobs, so that a slow table does not delay
+// decisions that need no table.
+const scanWait = 500 * time.Millisecond
+
+func (s *scheduler) readPage(ctx context.Context, after string, size int) ([]*schema.Job, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, scanWait)
+	defer cancel()
+	return s.ledger.Open(ctx, s.self.DataCentre, after, size)
+}
--- /dev/null
+++ b/daisylugd/dispatch/view.go
@@ -0,0 +1,244 @@
+package dispatch
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"daisylug.example/scheduler/gang"
+	"daisylug.example/scheduler/guarantee"
+	"daisylug.example/scheduler/planner"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/queue"
+	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/template"
+)
+
+// checkpointTime is the assumed duration of a checkpoint; workers do not
+// announce it.
+const checkpointTime = 500 * time.Millisecond
+
+// input assembles what the decisions depend on.
+func (s *scheduler) input(now time.Time) planner.Input {
+	listing, _ := s.group.Listing()
+	s.plan.update(s.self.DataCentre, s.catalogue.Snapshot(), listing)
+	racks, running := s.view(listing, now)
+	return planner.Input{
+		Now:       now,
+		Pending:   s.pending,
+		Racks:     racks,
+		Running:   running,
+		Plan:      s.plan.plan,
+		Estimator: s.estimator,
+		Book:      s.book,
+		Holds:     s.holds,
+	}
+}
+
+// view returns the racks and the running work, with the starts under way.
+func (s *scheduler) view(listing platform.Listing, now time.Time) ([]gang.Rack, []planner.Running) {
+	racks := layout(listing.Workers, s.self.DataCentre)
+	var running []planner.Running
+	for i := range racks {
+		p, ok := s.board.get(racks[i].Name())
+		if !ok {
+			racks[i] = racks[i].WithDown(everyone(racks[i]), true)
+			continue
+		}
+		racks[i] = s.occupy(racks[i], p.rack)
+		running = s.gangs(racks[i], p.rack, running)
+	}
+	return s.addStarting(racks, running, now)
+}
+
+// everyone returns the set of all workers of a rack.
+func everyone(r gang.Rack) gang.Set {
+	var all gang.Set
+	for i := range r.Len() {
+		all = all.With(i)
+	}
+	return all
+}
+
+// occupy applies the published use, state and learned speed of the workers.
+func (s *scheduler) occupy(r gang.Rack, m *schema.Rack) gang.Rack {
+	places := make(map[string]*schema.Place, len(m.Places))
+	for _, p := range m.Places {
+		places[p.Worker] = p
+	}
+	for i := range r.Len() {
+		w := r.Worker(i)
+		one := gang.Set(0).With(i)
+		p, ok := places[w.Name]
+		if !ok || p.Leaving || !p.Reachable {
+			r = r.WithDown(one, true)
+			continue
+		}
+		r = r.WithUse(one, w.Accelerators-int(p.Free))
+		if speed, known := s.speeds[w.Name]; known {
+			r = r.WithSpeed(one, speed)
+		}
+	}
+	return r
+}
+
+// gangs appends the running gangs of a rack and removes them from the pending
+// jobs and the starts under way.
+func (s *scheduler) gangs(r gang.Rack, m *schema.Rack, running []planner.Running) []planner.Running {
+	for _, g := range m.Gangs {
+		s.pending.Remove(g.Job)
+		delete(s.missing, g.Job)
+		delete(s.starting, g.Job)
+		names := make([]string, 0, len(g.Members))
+		for _, at := range g.Members {
+			if int(at) < len(m.Places) {
+				names = append(names, m.Places[at].Worker)
+			}
+		}
+		set, _ := r.Set(names...)
+		running = append(running, s.runningGang(g, r.Name(), set))
+	}
+	return running
+}
+
+func (s *scheduler) runningGang(g *schema.Gang, rack string, set gang.Set) planner.Running {
+	job := s.records[g.Job]
+	request := queue.Job{
+		ID:       g.Job,
+		Team:     g.Team,
+		Template: g.Template,
+		Shape:    gang.Shape{Workers: len(g.Members), Accelerators: int(g.Accelerators)},
+		// Unknown jobs are treated as fixed, so that they are not evicted.
+		Fixed: true,
+	}
+	if job != nil {
+		request = s.request(job)
+	}
+	_, stopping := s.stopping[g.Job]
+	work := guarantee.Work{
+		Job:      g.Job,
+		Team:     g.Team,
+		Rack:     rack,
+		Shape:    request.Shape,
+		Workers:  set,
+		Fixed:    request.Fixed,
+		Stopping: stopping,
+	}
+	if g.Started != nil {
+		work.Started = g.Started.AsTime()
+	}
+	if !request.Fixed {
+		work.Checkpoint = checkpointTime
+	}
+	return planner.Running{Work: work, Request: request}
+}
+
+// addStarting adds the starts under way to the use of the racks.
+func (s *scheduler) addStarting(racks []gang.Rack, running []planner.Running, now time.Time) ([]gang.Rack, []planner.Running) {
+	for id, st := range s.starting {
+		if now.After(st.deadline) {
+			delete(s.starting, id)
+			continue
+		}
+		for i := range racks {
+			if racks[i].Name() != st.start.Rack {
+				continue
+			}
+			set, _ := racks[i].Set(st.start.Workers...)
+			shape := st.start.Job.Shape
+			if racks[i].Holds(set, shape.Accelerators) {
+				racks[i] = racks[i].WithUse(set, shape.Accelerators)
+			}
+			running = append(running, planner.Running{
+				Work: guarantee.Work{
+					Job:     id,
+					Team:    st.start.Job.Team,
+					Rack:    st.start.Rack,
+					Shape:   shape,
+					Workers: set,
+					Started: now,
+					Fixed:   st.start.Job.Fixed,
+				},
+				Request: st.start.Job,
+			})
+		}
+	}
+	return racks, running
+}
+
+// planCache derives the plan again only when its inputs have changed.
+type planCache struct {
+	version int64
+	workers uint64
+	plan    guarantee.Plan
+}
+
+func (c *planCache) update(centre string, snapshot *template.Snapshot, listing platform.Listing) {
+	workers := fingerprint(listing.Workers)
+	if c.version == snapshot.Version() && c.workers == workers {
+		return
+	}
+	c.version = snapshot.Version()
+	c.workers = workers
+	c.plan = guarantee.NewPlan(layout(listing.Workers, centre), guarantees(snapshot.Teams(), centre))
+}
+
+// fingerprint changes when a worker comes, leaves or changes.
+func fingerprint(workers []platform.WorkerInfo) uint64 {
+	h := fnv.New64a()
+	for _, w := range workers {
+		_, _ = h.Write([]byte(w.Name + "\x00" + w.Rack + "\x00" + w.DataCentre + "\x00" + string(w.State) + "\x00"))
+		_, _ = h.Write([]byte{byte(w.Accelerators)})
+	}
+	return h.Sum64()
+}
+
+// guarantees returns the guarantees that teams hold in a data centre.
+func guarantees(teams []*schema.Team, centre string) []guarantee.Guarantee {
+	var list []guarantee.Guarantee
+	for _, t := range teams {
+		for _, g := range t.Guarantees {
+			if g.Centre == centre {
+				list = append(list, guarantee.Guarantee{Team: t.Name, Shape: shapeOf(g.Shape), Count: int(g.Count)})
+			}
+		}
+	}
+	return list
+}
+
+// speeds holds the learned speed of workers relative to a typical one.
+type speeds map[string]float64
+
+// speedGain is the weight of a new observation of a worker's speed.
+const speedGain = 0.2
+
+// slowest returns the speed of a gang, which is that of its slowest worker.
+func (s speeds) slowest(workers []string) float64 {
+	lowest := math.Inf(1)
+	for _, w := range workers {
+		speed, ok := s[w]
+		if !ok {
+			speed = 1
+		}
+		lowest = min(lowest, speed)
+	}
+	if math.IsInf(lowest, 1) {
+		return 1
+	}
+	return lowest
+}
+
+// observe learns from a run that was expected to take a time at speed 1.
+// A gang tells nothing about which of its workers was slow, so only runs on
+// one worker count.
+func (s speeds) observe(workers []string, expected, ran time.Duration) {
+	if len(workers) != 1 || expected <= 0 || ran <= 0 {
+		return
+	}
+	old, ok := s[workers[0]]
+	if !ok {
+		old = 1
+	}
+	seen := min(max(float64(expected)/float64(ran), 0.05), 20)
+	s[workers[0]] = old + speedGain*(seen-old)
+}
