--- /dev/null
+++ b/scheduler/ledger/cancel.go
@@ -0,0 +1,61 @@
+package ledger
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"daisylug.example/scheduler/schema"
+)
+
+// cancelWindow is the number of cancellations of one call that wait for the
+// table at a time, so that one call cannot fill the queue.
+const cancelWindow = 2048
+
+// Cancelled is the outcome of one cancellation.
+type Cancelled struct {
+	ID string
+	// Job is the record after the cancellation.
+	Job *schema.Job
+	// Was is the state before it. A job that was queued does not run again; one
+	// that was claimed may be starting, and its rack owner must stop it.
+	Was schema.State
+	// Err is nil if the job is cancelled, *LateError if it had ended, or one of
+	// the errors of the other operations.
+	Err error
+}
+
+// Cancel cancels the jobs and returns one outcome for each, in order. Jobs
+// that are already cancelled count as cancelled.
+func (l *Ledger) Cancel(ctx context.Context, ids ...string) []Cancelled {
+	outcomes := make([]Cancelled, len(ids))
+	var window errgroup.Group
+	window.SetLimit(cancelWindow)
+	for i, id := range ids {
+		window.Go(func() error {
+			outcomes[i] = l.cancel(ctx, id)
+			return nil
+		})
+	}
+	_ = window.Wait()
+	return outcomes
+}
+
+func (l *Ledger) cancel(ctx context.Context, id string) Cancelled {
+	now := timestamppb.Now()
+	result := Cancelled{ID: id}
+	result.Job, result.Err = l.update(ctx, id, func(job *schema.Job, _ string) error {
+		result.Was = job.State
+		if job.State == schema.State_STATE_CANCELLED {
+			return nil
+		}
+		if terminal(job.State) {
+			return &LateError{ID: id, Attempt: job.Attempt, Current: job.Attempt, State: job.State}
+		}
+		job.State = schema.State_STATE_CANCELLED
+		job.Ended = now
+		return nil
+	})
+	return result
+}
--- /dev/null
+++ b/scheduler/ledger/errors.go
@@ -0,0 +1,148 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"daisylug.example/scheduler/schema"
+)
+
+// NotWrittenError reports an operation that was given up. Nothing of it was
+// written and nothing of it will be.
+type NotWrittenError struct {
+	ID    string
+	Cause error
+}
+
+func (e *NotWrittenError) Error() string {
+	return fmt.Sprintf("%s was not written: %v", e.ID, e.Cause)
+}
+
+func (e *NotWrittenError) Unwrap() error { return e.Cause }
+
+// OutcomeError reports an operation that may or may not have been written, or
+// may still be.
+type OutcomeError struct {
+	ID string
+	// Operation is the id to compare with the ids in the record.
+	Operation string
+	Cause     error
+}
+
+func (e *OutcomeError) Error() string {
+	return fmt.Sprintf("outcome of operation %s on %s is unknown: %v", e.Operation, e.ID, e.Cause)
+}
+
+func (e *OutcomeError) Unwrap() error { return e.Cause }
+
+// FullError reports that too many operations wait for the table.
+type FullError struct {
+	Operations int
+	Bytes      int
+}
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("%d operations with %d bytes already wait for the table", e.Operations, e.Bytes)
+}
+
+// ContentError reports a key that was used before with different content.
+type ContentError struct {
+	ID     string
+	Team   string
+	Key    string
+	Fields []string
+}
+
+func (e *ContentError) Error() string {
+	return fmt.Sprintf("key %q of team %s was used before with a different %s", e.Key, e.Team, strings.Join(e.Fields, ", "))
+}
+
+// FieldError reports a field without a usable value.
+type FieldError struct {
+	Field string
+	Cause string
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("field %s %s", e.Field, e.Cause)
+}
+
+// LateError reports an operation for an attempt that is over. A result that
+// came with it is dropped and may be acknowledged to the worker.
+type LateError struct {
+	ID      string
+	Attempt int32
+	// Current and State are those of the record.
+	Current int32
+	State   schema.State
+}
+
+func (e *LateError) Error() string {
+	return fmt.Sprintf("attempt %d of job %s is over: the job is %s in attempt %d", e.Attempt, e.ID, stateName(e.State), e.Current)
+}
+
+// StateError reports an operation that the state of the job does not allow.
+type StateError struct {
+	ID      string
+	Action  string
+	Attempt int32
+	// Current and State are those of the record.
+	Current int32
+	State   schema.State
+}
+
+func (e *StateError) Error() string {
+	return fmt.Sprintf("cannot %s attempt %d of job %s: it is %s in attempt %d", e.Action, e.Attempt, e.ID, stateName(e.State), e.Current)
+}
+
+// RepeatError refuses to requeue a job that may have run and must not run
+// twice.
+type RepeatError struct {
+	ID string
+}
+
+func (e *RepeatError) Error() string {
+	return fmt.Sprintf("job %s is not idempotent and may have run", e.ID)
+}
+
+// ClaimedError reports a quick request that another call has claimed and not
+// finished. Whether it ran is not known.
+type ClaimedError struct {
+	ID     string
+	Holder string
+}
+
+func (e *ClaimedError) Error() string {
+	return fmt.Sprintf("request %s is claimed by %s", e.ID, e.Holder)
+}
+
+// RecordError reports a stored record or object that cannot be read.
+type RecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *RecordError) Error() string {
+	return fmt.Sprintf("record %s is unreadable: %v", e.Key, e.Cause)
+}
+
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// Written tells what is known about the writes of an operation that returned
+// err: "yes", "no" or "unknown".
+func Written(err error) string {
+	var doubt *OutcomeError
+	switch {
+	case err == nil:
+		return "yes"
+	case errors.As(err, &doubt):
+		return "unknown"
+	default:
+		return "no"
+	}
+}
+
+func stateName(s schema.State) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "STATE_"))
+}
--- /dev/null
+++ b/scheduler/ledger/group.go
@@ -0,0 +1,457 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"daisylug.example/scheduler/platform"
+)
+
+const (
+	// rateBurst lets a few operations of an idle ledger go out without delay.
+	rateBurst = 4
+
+	pauseFirst = 20 * time.Millisecond
+	pauseMax   = 2 * time.Second
+)
+
+// stage is how far a change has come.
+type stage int
+
+const (
+	stageQueued stage = iota
+	stageReading
+	// stageSent is set just before the transaction goes out. From then on the
+	// change can no longer be withdrawn.
+	stageSent
+	stageSettled
+)
+
+// step is what a change asks for on the row it found. Without writes the
+// change is settled with value.
+type step struct {
+	writes []platform.Write
+	value  any
+}
+
+// change is one operation on one row and its index rows.
+type change struct {
+	id        string
+	key       string
+	operation string
+	// apply judges the change on the row found (version 0: absent). It is
+	// called again when the row turns out to be different.
+	apply func(row platform.Row, operation string) (step, error)
+	// rows and size (in bytes) are upper bounds of what the change writes.
+	rows int
+	size int
+
+	// The fields below are used by the flight that carries the change.
+	// known is set when row needs no reading.
+	known bool
+	row   platform.Row
+	step  step
+
+	// The fields below are guarded by the group's lock.
+	stage stage
+	// doubt is set when a transaction with this change got no answer.
+	doubt bool
+	value any
+	err   error
+	done  chan struct{}
+}
+
+// group commits the changes of many callers in shared transactions.
+type group struct {
+	table   platform.Table
+	options Options
+	limiter *rate.Limiter
+	flights chan struct{}
+
+	mu      sync.Mutex
+	queue   []*change
+	busy    map[string]bool
+	pending int
+	bytes   int
+	running bool
+	wake    chan struct{}
+	pauses  *backoff.ExponentialBackOff
+	pause   time.Time
+
+	transactions, rows, reads, settled atomic.Int64
+
+	// blind makes a lost answer count as not written (tests only).
+	blind bool
+}
+
+func newGroup(table platform.Table, options Options) *group {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = pauseFirst
+	pauses.MaxInterval = pauseMax
+	return &group{
+		table:   table,
+		options: options,
+		limiter: rate.NewLimiter(rate.Limit(options.Rate), rateBurst),
+		flights: make(chan struct{}, options.Flights),
+		busy:    make(map[string]bool),
+		wake:    make(chan struct{}, 1),
+		pauses:  pauses,
+	}
+}
+
+func (g *group) stats() Stats {
+	return Stats{
+		Transactions: g.transactions.Load(),
+		Rows:         g.rows.Load(),
+		Reads:        g.reads.Load(),
+		Settled:      g.settled.Load(),
+	}
+}
+
+// do carries out c and returns its value.
+func (g *group) do(ctx context.Context, c *change) (any, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &NotWrittenError{ID: c.id, Cause: err}
+	}
+	if err := g.enqueue(c); err != nil {
+		return nil, err
+	}
+	return g.await(ctx, c)
+}
+
+func (g *group) await(ctx context.Context, c *change) (any, error) {
+	select {
+	case <-c.done:
+		return c.value, c.err
+	case <-ctx.Done():
+		g.abandon(c, ctx.Err())
+		return c.value, c.err
+	}
+}
+
+func (g *group) enqueue(c *change) error {
+	c.operation = uuid.NewString()
+	c.done = make(chan struct{})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.queue) > 2*g.options.Operations {
+		g.compact()
+	}
+	if g.pending >= g.options.Operations || g.bytes+c.size > g.options.Memory {
+		return &NotWrittenError{ID: c.id, Cause: &FullError{Operations: g.pending, Bytes: g.bytes}}
+	}
+	g.pending++
+	g.bytes += c.size
+	g.queue = append(g.queue, c)
+	if !g.running {
+		g.running = true
+		go g.run()
+	}
+	g.signal()
+	return nil
+}
+
+// abandon settles c for a caller that waits no longer.
+func (g *group) abandon(c *change, cause error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.stage == stageSettled {
+		return
+	}
+	if c.doubt || c.stage == stageSent {
+		g.settle(c, nil, &OutcomeError{ID: c.id, Operation: c.operation, Cause: cause})
+		return
+	}
+	g.settle(c, nil, &NotWrittenError{ID: c.id, Cause: cause})
+}
+
+// settle ends c. The caller holds the lock.
+func (g *group) settle(c *change, value any, err error) {
+	if c.stage == stageSettled {
+		return
+	}
+	if c.doubt && Written(err) != "unknown" {
+		g.settled.Add(1)
+	}
+	c.stage = stageSettled
+	c.value, c.err = value, err
+	g.pending--
+	g.bytes -= c.size
+	close(c.done)
+}
+
+func (g *group) signal() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends batches until no change is left.
+func (g *group) run() {
+	for {
+		ready, left := g.ready()
+		if !left {
+			return
+		}
+		if !ready {
+			<-g.wake
+			continue
+		}
+		time.Sleep(g.delay())
+		_ = g.limiter.Wait(context.Background())
+		g.flights <- struct{}{}
+		batch := g.take()
+		if len(batch) == 0 {
+			<-g.flights
+			continue
+		}
+		go g.fly(batch)
+	}
+}
+
+// ready reports whether a change can be taken, and whether any is left, queued
+// or under way. If none is left, the caller must end.
+func (g *group) ready() (ready, left bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.compact()
+	for _, c := range g.queue {
+		if !g.busy[c.key] {
+			return true, true
+		}
+	}
+	left = len(g.queue) > 0 || len(g.busy) > 0
+	if !left {
+		g.running = false
+	}
+	return false, left
+}
+
+// compact drops settled changes from the queue. The caller holds the lock.
+func (g *group) compact() {
+	g.queue = slices.DeleteFunc(g.queue, func(c *change) bool { return c.stage == stageSettled })
+}
+
+// delay returns how long to wait before the next batch is taken.
+func (g *group) delay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(time.Until(g.pause), g.options.Linger)
+}
+
+// take removes the next batch from the queue: changes of distinct rows that
+// no other batch is working on.
+func (g *group) take() []*change {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var batch []*change
+	var rows, size int
+	g.queue = slices.DeleteFunc(g.queue, func(c *change) bool {
+		if c.stage == stageSettled {
+			return true
+		}
+		full := rows+rowsMax > g.options.Rows || rows > 0 && size+c.size > g.options.Bytes
+		if full || g.busy[c.key] {
+			return false
+		}
+		g.busy[c.key] = true
+		c.stage = stageReading
+		rows += c.rows
+		size += c.size
+		batch = append(batch, c)
+		return true
+	})
+	return batch
+}
+
+// fly carries out one batch and gives back its flight.
+func (g *group) fly(batch []*change) {
+	ctx, cancel := context.WithTimeout(context.Background(), g.options.Timeout)
+	defer cancel()
+	err := g.read(ctx, batch)
+	if err == nil {
+		err = g.commit(ctx, g.judge(batch))
+	}
+	g.finish(batch, err)
+	<-g.flights
+}
+
+// finish puts unsettled changes back at the head of the queue, and slows down
+// if the table failed.
+func (g *group) finish(batch []*change, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var again []*change
+	for _, c := range batch {
+		delete(g.busy, c.key)
+		if c.stage != stageSettled {
+			c.stage = stageQueued
+			again = append(again, c)
+		}
+	}
+	g.queue = append(again, g.queue...)
+	if err != nil {
+		g.pause = time.Now().Add(g.pauses.NextBackOff())
+	} else {
+		g.pauses.Reset()
+	}
+	g.signal()
+}
+
+// read fetches the rows that the batch needs in one call.
+func (g *group) read(ctx context.Context, batch []*change) error {
+	keys := make([]string, 0, len(batch))
+	for _, c := range batch {
+		if !c.known {
+			keys = append(keys, c.key)
+		}
+	}
+	if len(keys) == 0 {
+		return nil
+	}
+	g.reads.Add(1)
+	rows, err := g.table.Read(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	found := make(map[string]platform.Row, len(rows))
+	for _, row := range rows {
+		found[row.Key] = row
+	}
+	for _, c := range batch {
+		if !c.known {
+			c.row = found[c.key]
+		}
+	}
+	return nil
+}
+
+// judge applies each change to its row. It settles those that need no write
+// and returns the others.
+func (g *group) judge(batch []*change) []*change {
+	errs := make([]error, len(batch))
+	for i, c := range batch {
+		c.step, errs[i] = c.apply(c.row, c.operation)
+		// The row is read again unless this attempt settles the change.
+		c.known = false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var send []*change
+	for i, c := range batch {
+		if errs[i] != nil || len(c.step.writes) == 0 {
+			g.settle(c, c.step.value, errs[i])
+			continue
+		}
+		send = append(send, c)
+	}
+	return send
+}
+
+// commit sends the changes in one transaction. Those with a conflict drop out
+// and the others are sent again.
+func (g *group) commit(ctx context.Context, batch []*change) error {
+	for first := true; ; first = false {
+		if !first {
+			_ = g.limiter.Wait(ctx)
+		}
+		batch = g.send(batch)
+		if len(batch) == 0 {
+			return nil
+		}
+		err := g.transact(ctx, batch)
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			return g.answer(batch, err)
+		}
+		batch = g.without(batch, conflict.Keys)
+	}
+}
+
+// send marks the changes as sent and drops those whose caller has left.
+func (g *group) send(batch []*change) []*change {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var sent []*change
+	for _, c := range batch {
+		if c.stage != stageSettled {
+			c.stage = stageSent
+			sent = append(sent, c)
+		}
+	}
+	return sent
+}
+
+func (g *group) transact(ctx context.Context, batch []*change) error {
+	t := platform.Transaction{Operation: uuid.NewString()}
+	for _, c := range batch {
+		t.Writes = append(t.Writes, c.step.writes...)
+	}
+	g.transactions.Add(1)
+	g.rows.Add(int64(len(t.Writes)))
+	return g.table.Commit(ctx, t)
+}
+
+// answer settles the batch if it was written, and records a doubt if that is
+// not known.
+func (g *group) answer(batch []*change, err error) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var unavailable *platform.UnavailableError
+	refused := errors.As(err, &unavailable)
+	for _, c := range batch {
+		switch {
+		case err == nil:
+			g.settle(c, c.step.value, nil)
+		case refused || c.stage == stageSettled:
+		case g.blind:
+			c.operation = uuid.NewString()
+		default:
+			c.doubt = true
+		}
+	}
+	return err
+}
+
+// without drops the changes that write one of keys. All are dropped if none
+// does, so that every row is read again.
+func (g *group) without(batch []*change, keys []string) []*change {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	conflicts := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		conflicts[key] = true
+	}
+	var rest []*change
+	for _, c := range batch {
+		if !c.touches(conflicts) {
+			rest = append(rest, c)
+			continue
+		}
+		if c.stage == stageSent {
+			c.stage = stageReading
+		}
+	}
+	if len(rest) == len(batch) {
+		return nil
+	}
+	return rest
+}
+
+func (c *change) touches(keys map[string]bool) bool {
+	for _, w := range c.step.writes {
+		if keys[w.Key] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/scheduler/ledger/request.go
@@ -0,0 +1,167 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+)
+
+// claimed is the value of a claim of a quick request.
+type claimed struct {
+	request  *schema.Request
+	existing bool
+}
+
+// ClaimRequest claims a quick request that must run at most once; team,
+// template, key and sum identify it. Only the caller that gets existing false
+// may send it. If the request has ended, its record with the answer is
+// returned; if it is claimed, *ClaimedError.
+func (l *Ledger) ClaimRequest(ctx context.Context, request *schema.Request) (record *schema.Request, existing bool, err error) {
+	switch {
+	case request.Team == "":
+		return nil, false, &FieldError{Field: "team", Cause: "is empty"}
+	case request.Key == "":
+		return nil, false, &FieldError{Field: "key", Cause: "is empty"}
+	}
+	request = proto.CloneOf(request)
+	request.Id = RequestID(request.Team, request.Key)
+	request.State = schema.State_STATE_CLAIMED
+	request.Holder = l.options.Instance
+	request.Claimed = timestamppb.Now()
+	c := l.requestChange(request.Id, proto.Size(request), func(row platform.Row, operation string) (step, error) {
+		return claimRequest(row, request, operation)
+	})
+	c.known = true
+	value, err := l.group.do(ctx, c)
+	if err != nil {
+		return nil, false, err
+	}
+	v := value.(claimed)
+	return v.request, v.existing, nil
+}
+
+func claimRequest(row platform.Row, request *schema.Request, operation string) (step, error) {
+	if row.Version == 0 {
+		return takeRequest(row, request, operation)
+	}
+	record, err := decodeRequest(row)
+	if err != nil {
+		return step{}, err
+	}
+	switch {
+	case record.Claim == operation:
+		return step{value: claimed{request: record}}, nil
+	case record.Template != request.Template || !bytes.Equal(record.Sum, request.Sum):
+		return step{}, &ContentError{ID: record.Id, Team: record.Team, Key: record.Key, Fields: []string{"template or payload"}}
+	case record.State == schema.State_STATE_QUEUED:
+		return takeRequest(row, request, operation)
+	case record.State == schema.State_STATE_CLAIMED:
+		return step{}, &ClaimedError{ID: record.Id, Holder: record.Holder}
+	default:
+		return step{value: claimed{request: record, existing: true}}, nil
+	}
+}
+
+// takeRequest writes the claim on a row that is absent or released.
+func takeRequest(row platform.Row, request *schema.Request, operation string) (step, error) {
+	record := proto.CloneOf(request)
+	record.Claim = operation
+	s, err := writeRequest(row, record, operation)
+	s.value = claimed{request: record}
+	return s, err
+}
+
+// FinishRequest stores the answer of the request claimed with the id claim.
+// The first answer wins; a later one gets the record that exists.
+func (l *Ledger) FinishRequest(ctx context.Context, id, claim string, failed bool, answer []byte) (*schema.Request, error) {
+	inline, objects, err := l.store(ctx, "answer/"+id, [][]byte{answer})
+	if err != nil {
+		return nil, &NotWrittenError{ID: id, Cause: err}
+	}
+	now := timestamppb.Now()
+	return l.updateRequest(ctx, id, len(inline[0]), func(row platform.Row, r *schema.Request, operation string) (step, error) {
+		if r.State != schema.State_STATE_CLAIMED {
+			return step{value: r}, nil
+		}
+		if r.Claim != claim {
+			return step{}, &ClaimedError{ID: id, Holder: r.Holder}
+		}
+		r.State = schema.State_STATE_DONE
+		r.Failed = failed
+		r.Answer = inline[0]
+		if objects != nil {
+			r.Object = objects[0]
+		}
+		r.Ended = now
+		return writeRequest(row, r, operation)
+	})
+}
+
+// ReleaseRequest gives up the claim of a request that did not start and never
+// will, so that the same key can be claimed again. The row stays, because its
+// version keeps a delayed write of this claim from touching a later one.
+func (l *Ledger) ReleaseRequest(ctx context.Context, id, claim string) error {
+	_, err := l.updateRequest(ctx, id, 0, func(row platform.Row, r *schema.Request, operation string) (step, error) {
+		if r.Claim != claim || r.State == schema.State_STATE_QUEUED {
+			return step{value: r}, nil
+		}
+		if r.State != schema.State_STATE_CLAIMED {
+			return step{}, &ClaimedError{ID: id, Holder: r.Holder}
+		}
+		r.State = schema.State_STATE_QUEUED
+		return writeRequest(row, r, operation)
+	})
+	return err
+}
+
+// Answer returns the answer of an ended request.
+func (l *Ledger) Answer(ctx context.Context, request *schema.Request) ([]byte, error) {
+	if request.Object == "" {
+		return request.Answer, nil
+	}
+	return l.load(ctx, request.Object)
+}
+
+func (l *Ledger) updateRequest(ctx context.Context, id string, size int, f func(row platform.Row, r *schema.Request, operation string) (step, error)) (*schema.Request, error) {
+	c := l.requestChange(id, size, func(row platform.Row, operation string) (step, error) {
+		if row.Version == 0 {
+			return step{}, &platform.NotFoundError{Kind: "request", Name: id}
+		}
+		r, err := decodeRequest(row)
+		if err != nil {
+			return step{}, err
+		}
+		if r.Operation == operation {
+			return step{value: r}, nil
+		}
+		return f(row, r, operation)
+	})
+	value, err := l.group.do(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return value.(*schema.Request), nil
+}
+
+func (l *Ledger) requestChange(id string, size int, apply func(row platform.Row, operation string) (step, error)) *change {
+	return &change{id: id, key: requestKey(id), rows: 1, size: size + changeBytes, apply: apply}
+}
+
+func writeRequest(row platform.Row, r *schema.Request, operation string) (step, error) {
+	r.Operation = operation
+	value, err := proto.Marshal(r)
+	return step{value: r, writes: []platform.Write{{Key: row.Key, Version: row.Version, Value: value}}}, err
+}
+
+func decodeRequest(row platform.Row) (*schema.Request, error) {
+	r := new(schema.Request)
+	if err := proto.Unmarshal(row.Value, r); err != nil {
+		return nil, &RecordError{Key: row.Key, Cause: err}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/scheduler/template/errors.go
@@ -0,0 +1,87 @@
+package template
+
+import "fmt"
+
+// FieldError reports a field that has no usable value.
+type FieldError struct {
+	Field string
+	Cause string
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("field %s %s", e.Field, e.Cause)
+}
+
+// ConflictError reports a change based on a version that is not in force.
+type ConflictError struct {
+	Kind string
+	Name string
+	// Match is the version that the change was based on.
+	Match int64
+	// Version is the one in force; 0 if there is none.
+	Version int64
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s %s is at version %d, not %d", e.Kind, e.Name, e.Version, e.Match)
+}
+
+// InfeasibleError reports guarantees that the machines cannot hold.
+type InfeasibleError struct {
+	Cause error
+}
+
+func (e *InfeasibleError) Error() string {
+	return fmt.Sprintf("guarantees cannot be held: %v", e.Cause)
+}
+
+func (e *InfeasibleError) Unwrap() error { return e.Cause }
+
+// NotWrittenError reports a change that was given up and never takes effect.
+type NotWrittenError struct {
+	Key   string
+	Cause error
+}
+
+func (e *NotWrittenError) Error() string {
+	return fmt.Sprintf("%s was not written: %v", e.Key, e.Cause)
+}
+
+func (e *NotWrittenError) Unwrap() error { return e.Cause }
+
+// OutcomeError reports a change that may be in effect.
+type OutcomeError struct {
+	Key       string
+	Operation string
+	Cause     error
+}
+
+func (e *OutcomeError) Error() string {
+	return fmt.Sprintf("outcome of operation %s on %s is unknown: %v", e.Operation, e.Key, e.Cause)
+}
+
+func (e *OutcomeError) Unwrap() error { return e.Cause }
+
+// RecordError reports a stored record that cannot be read.
+type RecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *RecordError) Error() string {
+	return fmt.Sprintf("record %s is unreadable: %v", e.Key, e.Cause)
+}
+
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// StaleError reports a read that is older than what was read before.
+type StaleError struct {
+	Key string
+	// Version is the one read, Known one that exists.
+	Version int64
+	Known   int64
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("read %s at version %d, but version %d exists", e.Key, e.Version, e.Known)
+}
--- /dev/null
+++ b/scheduler/template/snapshot.go
@@ -0,0 +1,167 @@
+package template
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"daisylug.example/scheduler/schema"
+)
+
+// Snapshot is the complete configuration at one version. It and all records
+// reached from it are immutable.
+type Snapshot struct {
+	version   int64
+	records   []*schema.Record
+	teams     map[string]entry[*schema.Team]
+	templates map[string]entry[*schema.Template]
+}
+
+// entry is a decoded record with the version of its row.
+type entry[T any] struct {
+	value   T
+	version int64
+}
+
+// Version returns the version of the configuration.
+func (s *Snapshot) Version() int64 { return s.version }
+
+// Team returns a team and the version of its row; nil and 0 if there is none.
+func (s *Snapshot) Team(name string) (*schema.Team, int64) {
+	e := s.teams[name]
+	return e.value, e.version
+}
+
+// Template returns a template and the version of its row; nil and 0 if there
+// is none.
+func (s *Snapshot) Template(name string) (*schema.Template, int64) {
+	e := s.templates[name]
+	return e.value, e.version
+}
+
+// Teams returns all teams in order of name.
+func (s *Snapshot) Teams() []*schema.Team {
+	return list(s, teamPrefix, s.teams)
+}
+
+// Templates returns all templates in order of name.
+func (s *Snapshot) Templates() []*schema.Template {
+	return list(s, templatePrefix, s.templates)
+}
+
+// list returns the values of one kind in the order of the records.
+func list[T any](s *Snapshot, prefix string, entries map[string]entry[T]) []T {
+	values := make([]T, 0, len(entries))
+	for _, r := range s.records {
+		if name, ok := strings.CutPrefix(r.Key, prefix); ok {
+			values = append(values, entries[name].value)
+		}
+	}
+	return values
+}
+
+// Encode returns the snapshot for another instance to Adopt.
+func (s *Snapshot) Encode() ([]byte, error) {
+	return proto.Marshal(&schema.Snapshot{Version: s.version, Records: s.records})
+}
+
+// Decode returns the snapshot that was encoded.
+func Decode(encoded []byte) (*Snapshot, error) {
+	var m schema.Snapshot
+	if err := proto.Unmarshal(encoded, &m); err != nil {
+		return nil, &RecordError{Key: "snapshot", Cause: err}
+	}
+	return newSnapshot(m.Version, m.Records)
+}
+
+// newSnapshot decodes records, which must not be modified afterwards.
+func newSnapshot(version int64, records []*schema.Record) (*Snapshot, error) {
+	s := &Snapshot{
+		version:   version,
+		records:   records,
+		teams:     make(map[string]entry[*schema.Team]),
+		templates: make(map[string]entry[*schema.Template]),
+	}
+	for _, r := range records {
+		if err := s.add(r); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Snapshot) add(r *schema.Record) error {
+	if name, ok := strings.CutPrefix(r.Key, teamPrefix); ok {
+		team := new(schema.Team)
+		if err := proto.Unmarshal(r.Value, team); err != nil {
+			return &RecordError{Key: r.Key, Cause: err}
+		}
+		s.teams[name] = entry[*schema.Team]{value: team, version: r.Version}
+		return nil
+	}
+	if name, ok := strings.CutPrefix(r.Key, templatePrefix); ok {
+		template := new(schema.Template)
+		if err := proto.Unmarshal(r.Value, template); err != nil {
+			return &RecordError{Key: r.Key, Cause: err}
+		}
+		s.templates[name] = entry[*schema.Template]{value: template, version: r.Version}
+	}
+	return nil
+}
+
+// with returns the snapshot of the given version in which records replace
+// those with the same key.
+func (s *Snapshot) with(version int64, records ...*schema.Record) (*Snapshot, error) {
+	next := slices.Clone(s.records)
+	for _, r := range records {
+		i, found := slices.BinarySearchFunc(next, r.Key, byKey)
+		if found {
+			next[i] = r
+			continue
+		}
+		next = slices.Insert(next, i, r)
+	}
+	return newSnapshot(version, next)
+}
+
+// find returns the record with key, or nil.
+func (s *Snapshot) find(key string) *schema.Record {
+	i, found := slices.BinarySearchFunc(s.records, key, byKey)
+	if !found {
+		return nil
+	}
+	return s.records[i]
+}
+
+// matches reports whether the snapshot holds exactly the rows that config
+// lists.
+func (s *Snapshot) matches(config *schema.Config) bool {
+	return slices.EqualFunc(s.records, config.Rows, func(a, b *schema.Record) bool {
+		return a.Key == b.Key && a.Version == b.Version
+	})
+}
+
+// follow applies the changes since s that config carries. It returns nil if
+// they do not lead to the state that config lists.
+func (s *Snapshot) follow(config *schema.Config) *Snapshot {
+	var records []*schema.Record
+	version := s.version
+	for _, change := range config.Changes {
+		if change.Version <= s.version {
+			continue
+		}
+		if change.Version != version+1 {
+			return nil
+		}
+		version = change.Version
+		records = append(records, change.Record)
+	}
+	next, err := s.with(config.Version, records...)
+	if err != nil || !next.matches(config) {
+		return nil
+	}
+	return next
+}
+
+func byKey(r *schema.Record, key string) int { return strings.Compare(r.Key, key) }
--- /dev/null
+++ b/scheduler/template/template.go
@@ -0,0 +1,152 @@
+// Package template keeps teams and templates in the table service and holds
+// their latest known state in memory.
+//
+// Each change writes the row of the team or template and the row "config" in
+// one transaction, both at their expected versions. The version of "config" is
+// the version of the configuration. The row lists the version of every other
+// row, so that an incomplete or stale read is detected, and the latest changes
+// with their values, so that one read brings an instance up to date.
+//
+// A Catalogue reads "config" every Options.Poll, without waiting for earlier
+// reads to end, and at once after Hint. A change is therefore in force at most
+// Poll plus the duration of one read after it was accepted. A snapshot
+// replaces another only if its version is higher.
+package template
+
+import (
+	"sync"
+	"time"
+
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+)
+
+const (
+	configKey      = "config"
+	teamPrefix     = "team/"
+	templatePrefix = "template/"
+)
+
+// Feasible returns an error if the machines cannot hold the guarantees of all
+// teams.
+type Feasible func(teams []*schema.Team) error
+
+// Options sets the intervals and limits of a Catalogue.
+type Options struct {
+	Poll time.Duration
+	// Timeout is when a read is given up. Reads under way at a time are at most
+	// Timeout / Poll, and one for a hint.
+	Timeout time.Duration
+	// Accelerators of one worker and Workers of one rack bound the shapes.
+	Accelerators int32
+	Workers      int32
+}
+
+// DefaultOptions returns the options for racks of 8 workers with 8
+// accelerators.
+func DefaultOptions() Options {
+	return Options{Poll: 2 * time.Second, Timeout: 8 * time.Second, Accelerators: 8, Workers: 8}
+}
+
+// Freshness tells how current the configuration in force is.
+type Freshness struct {
+	Version int64
+	// Confirmed is when the table last reported this version as the latest. It
+	// is zero if it never did, for example after Adopt.
+	Confirmed time.Time
+}
+
+// Catalogue holds the configuration in force. It is safe for concurrent use.
+type Catalogue struct {
+	table    platform.Table
+	feasible Feasible
+	options  Options
+	hints    chan struct{}
+
+	mu          sync.Mutex
+	snapshot    *Snapshot
+	confirmed   time.Time
+	hinted      int64
+	subscribers map[chan *Snapshot]bool
+
+	// lower lets a lower version replace a higher one (tests only).
+	lower bool
+}
+
+// New returns a Catalogue with an empty configuration of version 0. A nil
+// feasible allows all guarantees.
+func New(table platform.Table, feasible Feasible, options Options) *Catalogue {
+	return &Catalogue{
+		table:       table,
+		feasible:    feasible,
+		options:     options,
+		hints:       make(chan struct{}, 1),
+		snapshot:    &Snapshot{},
+		subscribers: make(map[chan *Snapshot]bool),
+	}
+}
+
+// Snapshot returns the configuration in force.
+func (c *Catalogue) Snapshot() *Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.snapshot
+}
+
+// Freshness returns the version in force and when it was last confirmed.
+func (c *Catalogue) Freshness() Freshness {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Freshness{Version: c.snapshot.version, Confirmed: c.confirmed}
+}
+
+// Adopt takes the encoded snapshot of another instance if its version is
+// higher. It stays unconfirmed until the table reports the same version.
+func (c *Catalogue) Adopt(encoded []byte) error {
+	s, err := Decode(encoded)
+	if err != nil {
+		return err
+	}
+	c.adopt(s, time.Time{})
+	return nil
+}
+
+// adopt puts s in force if its version is higher. A non-zero confirmed is the
+// start of the read in which the table reported the version.
+func (c *Catalogue) adopt(s *Snapshot, confirmed time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case s.version > c.snapshot.version || c.lower:
+		c.snapshot = s
+		c.confirmed = confirmed
+		c.publish(s)
+	case s.version == c.snapshot.version && confirmed.After(c.confirmed):
+		c.confirmed = confirmed
+	}
+}
+
+// Subscribe returns a channel that receives each new snapshot; a slow receiver
+// gets only the latest. Stop ends the subscription.
+func (c *Catalogue) Subscribe() (snapshots <-chan *Snapshot, stop func()) {
+	ch := make(chan *Snapshot, 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.subscribers[ch] = true
+	return ch, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.subscribers, ch)
+	}
+}
+
+// publish sends s to all subscribers. The caller holds the lock.
+func (c *Catalogue) publish(s *Snapshot) {
+	for ch := range c.subscribers {
+		select {
+		case <-ch:
+		default:
+		}
+		ch <- s
+	}
+}
--- /dev/null
+++ b/scheduler/template/validate.go
@@ -0,0 +1,135 @@
+package template
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+
+	"daisylug.example/scheduler/schema"
+)
+
+const (
+	priorityMax   = 1000
+	weightMax     = 1000
+	countMax      = 100000
+	templatesMax  = 64
+	guaranteesMax = 64
+	estimateMax   = 366 * 24 * 3600
+)
+
+// namePattern allows names that are safe in keys, URLs and metric labels.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
+
+// checkTeam validates the fields of team that need no other record.
+func (c *Catalogue) checkTeam(team *schema.Team) error {
+	if err := checkName("name", team.Name); err != nil {
+		return err
+	}
+	if err := checkRange("priority", team.Priority, 0, priorityMax); err != nil {
+		return err
+	}
+	if err := checkRange("weight", team.Weight, 1, weightMax); err != nil {
+		return err
+	}
+	if err := checkAmount("prepaid", team.Prepaid, math.MaxFloat64); err != nil {
+		return err
+	}
+	if len(team.Templates) > templatesMax {
+		return &FieldError{Field: "templates", Cause: fmt.Sprintf("has more than %d entries", templatesMax)}
+	}
+	if len(team.Guarantees) > guaranteesMax {
+		return &FieldError{Field: "guarantees", Cause: fmt.Sprintf("has more than %d entries", guaranteesMax)}
+	}
+	for i, g := range team.Guarantees {
+		if err := c.checkGuarantee(fmt.Sprintf("guarantees[%d]", i), g); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Catalogue) checkGuarantee(field string, g *schema.Guarantee) error {
+	if err := checkName(field+".centre", g.GetCentre()); err != nil {
+		return err
+	}
+	if err := c.checkShape(field+".shape", g.Shape); err != nil {
+		return err
+	}
+	return checkRange(field+".count", g.Count, 1, countMax)
+}
+
+// checkTemplates verifies that the templates of team exist in s.
+func checkTemplates(team *schema.Team, s *Snapshot) error {
+	for i, name := range team.Templates {
+		field := fmt.Sprintf("templates[%d]", i)
+		if template, _ := s.Template(name); template == nil {
+			return &FieldError{Field: field, Cause: fmt.Sprintf("names the unknown template %q", name)}
+		}
+		if slices.Index(team.Templates, name) < i {
+			return &FieldError{Field: field, Cause: fmt.Sprintf("repeats %q", name)}
+		}
+	}
+	return nil
+}
+
+func (c *Catalogue) checkTemplate(t *schema.Template) error {
+	if err := checkName("name", t.Name); err != nil {
+		return err
+	}
+	if _, known := schema.Class_name[int32(t.Class)]; !known || t.Class == schema.Class_CLASS_UNSPECIFIED {
+		return &FieldError{Field: "class", Cause: "is not quick, planned or background"}
+	}
+	if err := checkAmount("estimate", t.Estimate, estimateMax); err != nil {
+		return err
+	}
+	// A quick request runs in one slot and needs no shape.
+	if t.Class == schema.Class_CLASS_QUICK && t.Shape == nil && t.Limit == nil {
+		return nil
+	}
+	if err := c.checkShape("shape", t.Shape); err != nil {
+		return err
+	}
+	if t.Limit == nil {
+		return nil
+	}
+	if err := c.checkShape("limit", t.Limit); err != nil {
+		return err
+	}
+	if t.Limit.Workers*t.Limit.Accelerators < t.Shape.Workers*t.Shape.Accelerators {
+		return &FieldError{Field: "limit", Cause: "is smaller than the shape"}
+	}
+	return nil
+}
+
+// checkShape refuses shapes that no rack can hold.
+func (c *Catalogue) checkShape(field string, s *schema.Shape) error {
+	if s == nil {
+		return &FieldError{Field: field, Cause: "is missing"}
+	}
+	if err := checkRange(field+".workers", s.Workers, 1, c.options.Workers); err != nil {
+		return err
+	}
+	return checkRange(field+".accelerators", s.Accelerators, 1, c.options.Accelerators)
+}
+
+func checkName(field, name string) error {
+	if !namePattern.MatchString(name) {
+		return &FieldError{Field: field, Cause: "is not 1 to 63 lower-case letters, digits, dots, dashes or underscores with a letter or digit at both ends"}
+	}
+	return nil
+}
+
+func checkRange(field string, value, low, high int32) error {
+	if value < low || value > high {
+		return &FieldError{Field: field, Cause: fmt.Sprintf("is %d, not between %d and %d", value, low, high)}
+	}
+	return nil
+}
+
+func checkAmount(field string, value, high float64) error {
+	if !(value >= 0 && value <= high) {
+		return &FieldError{Field: field, Cause: fmt.Sprintf("is %v, not between 0 and %v", value, high)}
+	}
+	return nil
+}
