Add admission, routing, retries and claims of quick requests

Admission, fair queueing, picking, shares, the retry budget and the check of answers are functions of state and time; the router holds the state under one lock. Connections are still missing and nothing is measured yet.

--- a/scheduler/quote/options.go
+++ b/scheduler/quote/options.go
@@ -62,6 +62,19 @@
 	Estimate time.Duration
 	// Seed makes random choices repeatable; 0 means a random seed.
 	Seed uint64
+
+	off disabled
+}
+
+// disabled switches mechanisms off, for tests that show what they protect.
+type disabled struct {
+	admission bool
+	budget    bool
+	claim     bool
+	ejection  bool
+	revoke    bool
+	share     bool
+	verify    bool
 }
 
 // Defaults of Options.
--- a/scheduler/quote/status.go
+++ b/scheduler/quote/status.go
@@ -1,6 +1,10 @@
 package quote
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Status is a snapshot of a router.
 type Status struct {
@@ -57,3 +61,57 @@
 	Idle     int `json:"idle"`
 	Replaced int `json:"replaced"`
 }
+
+// Status returns a snapshot of the queue, the limiter and the workers.
+func (r *Router) Status() Status {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slots := r.picker.slots(now)
+	return Status{
+		Draining: r.draining,
+		Slots:    slots,
+		Running:  r.running,
+		Queue: QueueStatus{
+			Length:     r.queue.length,
+			Limit:      r.limit(slots),
+			Overloaded: r.standing.overloaded(r.queue.length, now),
+			AgeLimit:   r.ageLimit(slots, now),
+			Wait:       time.Duration(r.holding.value * float64(r.queue.length) / float64(max(slots, 1))),
+		},
+		Budget:  r.budget.instance,
+		Teams:   r.teamStatus(slots),
+		Workers: r.workerStatus(now),
+	}
+}
+
+func (r *Router) teamStatus(slots int) []TeamStatus {
+	var list []TeamStatus
+	for name, f := range r.queue.flows {
+		list = append(list, TeamStatus{
+			Name:    name,
+			Share:   r.queue.share(f, slots),
+			Queued:  f.queued,
+			Running: f.running,
+			Budget:  r.budget.tokens(name),
+		})
+	}
+	slices.SortFunc(list, func(a, b TeamStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (r *Router) workerStatus(now time.Time) []WorkerStatus {
+	var list []WorkerStatus
+	for _, w := range r.picker.workers {
+		list = append(list, WorkerStatus{
+			Name:     w.info.Name,
+			Slots:    w.slots,
+			Running:  w.running,
+			Slowness: w.slownessAt(now),
+			Failures: w.failures,
+			Ejected:  w.ejected,
+			Leaving:  w.isLeaving(now),
+		})
+	}
+	return list
+}
