--- a/scheduler/quote/admission.go
+++ b/scheduler/quote/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -28,7 +29,7 @@
 
 // endReason tells why the context of a request is done.
 func endReason(ctx context.Context) Reason {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return ReasonDeadline
 	}
 	return ReasonCancelled
