--- a/scheduler/platform/memory/fleet.go
+++ b/scheduler/platform/memory/fleet.go
@@ -51,6 +51,16 @@
 	return w
 }
 
+// SetAddress changes the address under which the directory lists the worker.
+func (f *Fleet) SetAddress(name, address string) {
+	m := f.Get(name).m
+	m.mu.Lock()
+	m.info.Address = address
+	info := m.info
+	m.mu.Unlock()
+	f.book.putWorker(info)
+}
+
 // SetLeaving makes the worker refuse new work, or take it again. The directory
 // shows the change after its lag.
 func (f *Fleet) SetLeaving(name string, leaving bool) {
@@ -152,3 +162,15 @@
 	}
 	return all
 }
+
+// Attempts returns the outcomes of the attempts that the worker remembers.
+func (w Worker) Attempts() map[platform.RequestRef]platform.Outcome {
+	w.m.mu.Lock()
+	defer w.m.mu.Unlock()
+	w.m.advance(time.Now())
+	all := make(map[platform.RequestRef]platform.Outcome, len(w.m.attempts))
+	for ref, a := range w.m.attempts {
+		all[ref] = a.outcome
+	}
+	return all
+}
--- /dev/null
+++ b/scheduler/platform/platformtest/platformtest.go
@@ -0,0 +1,136 @@
+// Package platformtest holds the contract test of the platform's interfaces.
+// Every adapter runs it.
+package platformtest
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/platform/memory"
+)
+
+// patience bounds the wait for a condition. It is far above the run times of
+// the payloads, so that a busy machine does not change a verdict.
+const patience = 20 * time.Second
+
+// short is the deadline of calls that get no answer.
+const short = 100 * time.Millisecond
+
+// Workers of the platform under test.
+const (
+	first  = "x-w000"
+	second = "x-w001"
+)
+
+// Connect returns an adapter to the services that p serves.
+type Connect func(t *testing.T, p *memory.Platform) platform.Platform
+
+// fixture is a platform, the adapter under test and an undisturbed view.
+type fixture struct {
+	platform.Platform
+	served *memory.Platform
+	truth  *memory.Platform
+	ctx    context.Context
+}
+
+// config is the platform under test: two workers with 8 accelerators, 2 slots.
+func config() memory.Config {
+	l := memory.Layout{
+		Region:       "r",
+		DataCentres:  []string{"x"},
+		Workers:      2,
+		Accelerators: 8,
+		Slots:        2,
+		Connections:  60,
+	}
+	return memory.Config{Seed: 1, Workers: l.Build(), UsageEvery: 10 * time.Millisecond}
+}
+
+func newFixture(t *testing.T, connect Connect, c memory.Config) *fixture {
+	p := memory.New(c)
+	f := &fixture{served: p, truth: p.View(), ctx: t.Context()}
+	f.Platform = connect(t, p)
+	return f
+}
+
+// Run runs the contract test.
+func Run(t *testing.T, connect Connect) {
+	for name, cases := range map[string][]contract{
+		"Table":     tableContracts,
+		"Objects":   objectContracts,
+		"Directory": directoryContracts,
+		"Tasks":     taskContracts,
+		"Quick":     quickContracts,
+	} {
+		t.Run(name, func(t *testing.T) { runContracts(t, connect, cases) })
+	}
+	t.Run("Faults", func(t *testing.T) { runFaults(t, connect) })
+}
+
+// contract is one promise of an interface.
+type contract struct {
+	name  string
+	check func(f *fixture)
+}
+
+func runContracts(t *testing.T, connect Connect, cases []contract) {
+	for _, c := range cases {
+		convey.Convey(c.name, t, func() { c.check(newFixture(t, connect, config())) })
+	}
+}
+
+// await polls until the condition holds.
+func await(condition func() bool) {
+	deadline := time.Now().Add(patience)
+	for !condition() && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	convey.So(condition(), convey.ShouldBeTrue)
+}
+
+// shouldBe asserts the type of an error; nil stands for success.
+func shouldBe(err, want error) {
+	convey.So(kind(err), convey.ShouldEqual, kind(want))
+}
+
+// kind names the type of the first typed error.
+func kind(err error) string {
+	switch {
+	case err == nil:
+		return "success"
+	case is[*platform.UnknownError](err):
+		return "unknown"
+	case is[*platform.UnavailableError](err):
+		return "unavailable"
+	case is[*platform.ConflictError](err):
+		return "conflict"
+	case is[*platform.NotFoundError](err):
+		return "not found"
+	case is[*platform.DeniedError](err):
+		return "denied"
+	case is[*platform.BusyError](err):
+		return "busy"
+	case is[*platform.LeavingError](err):
+		return "leaving"
+	}
+	return "untyped"
+}
+
+func is[E error](err error) bool {
+	var e E
+	return errors.As(err, &e)
+}
+
+var (
+	unknown     = &platform.UnknownError{}
+	unavailable = &platform.UnavailableError{}
+	conflict    = &platform.ConflictError{}
+	missing     = &platform.NotFoundError{}
+	busy        = &platform.BusyError{}
+	leaving     = &platform.LeavingError{}
+)
