dispatch: add the daemon and its HTTP interface

Assembles the group, ledger, catalogue, balances, racks, planner and the path of quick requests under kratos, with handlers for callers, operators and other instances.

--- a/daisylugd/dispatch/action.go
+++ b/daisylugd/dispatch/action.go
@@ -68,7 +68,12 @@
 		return
 	}
 	s.pending.Remove(st.Job.ID)
+	if s.balance.Admit(job.Team, st.Job.Shape.Total(), now) != nil {
+		s.unpaid[job.Id] = job
+		return
+	}
 	s.starting[st.Job.ID] = starting{start: st, attempt: job.Attempt + 1, deadline: now.Add(launchWait + settleAfter)}
+	s.places[st.Job.ID] = st.Workers
 	m := &schema.Launch{
 		Job:      job,
 		Rack:     st.Rack,
@@ -128,7 +133,7 @@
 	again.Attempt = reason.Attempt
 	again.State = schema.State_STATE_QUEUED
 	s.records[job.Id] = again
-	s.pending.Add(s.request(again))
+	s.enqueue(again)
 }
 
 // preempt asks the rack owner to checkpoint and stop gangs.
@@ -174,7 +179,7 @@
 	again.Rack = ""
 	s.records[job.Id] = again
 	s.shares[job.Id] = m.Share
-	s.pending.Add(s.request(again))
+	s.enqueue(again)
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, recordWait)
 	defer cancel()
--- a/daisylugd/dispatch/backlog.go
+++ b/daisylugd/dispatch/backlog.go
@@ -1,11 +1,15 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"daisylug.example/scheduler/balance"
 	"daisylug.example/scheduler/gang"
+	"daisylug.example/scheduler/planner"
 	"daisylug.example/scheduler/quarantine"
 	"daisylug.example/scheduler/queue"
 	"daisylug.example/scheduler/schema"
@@ -40,6 +44,16 @@
 	if _, busy := s.starting[job.Id]; busy {
 		return
 	}
+	s.enqueue(job)
+}
+
+// enqueue adds a job to the pending ones, or to the unpaid ones if the balance
+// of its team is spent.
+func (s *scheduler) enqueue(job *schema.Job) {
+	if s.balance.Admit(job.Team, 0, time.Now()) != nil {
+		s.unpaid[job.Id] = job
+		return
+	}
 	s.pending.Add(s.request(job))
 }
 
@@ -69,6 +83,30 @@
 	}
 }
 
+// charge reports the accelerators in use, holds back the jobs of teams whose
+// balance is spent and evicts their running work.
+func (s *scheduler) charge(ctx context.Context, in planner.Input, now time.Time) {
+	use := make(map[string]int)
+	for _, r := range in.Running {
+		use[r.Team] += r.Shape.Total()
+	}
+	for _, team := range s.catalogue.Snapshot().Teams() {
+		s.balance.SetRunning(team.Name, use[team.Name], now)
+	}
+	for _, r := range in.Running {
+		var spent *balance.ExhaustedError
+		if errors.As(s.balance.Admit(r.Team, 0, now), &spent) {
+			s.evict(ctx, r.Job, r.Rack, now.Add(s.grace), now)
+		}
+	}
+	for id, job := range s.unpaid {
+		if s.balance.Admit(job.Team, 0, now) == nil {
+			delete(s.unpaid, id)
+			s.pending.Add(s.request(job))
+		}
+	}
+}
+
 // withdraw forgets cancelled jobs and returns those that may be running.
 func (s *scheduler) withdraw(ids []string) []string {
 	s.mu.Lock()
@@ -76,6 +114,7 @@
 	var running []string
 	for _, id := range ids {
 		s.pending.Remove(id)
+		delete(s.unpaid, id)
 		s.book.Forget(id)
 		if _, busy := s.starting[id]; busy {
 			running = append(running, id)
@@ -103,6 +142,7 @@
 	defer s.mu.Unlock()
 	delete(s.starting, m.Job)
 	delete(s.stopping, m.Job)
+	defer delete(s.places, m.Job)
 	job := s.records[m.Job]
 	if job == nil {
 		return
@@ -113,7 +153,7 @@
 		again.State = schema.State_STATE_QUEUED
 		again.Attempt = m.Attempt
 		s.records[m.Job] = again
-		s.pending.Add(s.request(again))
+		s.enqueue(again)
 	} else {
 		delete(s.records, m.Job)
 		delete(s.shares, m.Job)
@@ -125,8 +165,9 @@
 // learn records run times, worker speeds and failures.
 func (s *scheduler) learn(job *schema.Job, m *schema.Ended) {
 	end := m.Ended.AsTime()
-	for _, w := range m.Workers {
-		failed := w == m.Failed
+	workers := s.places[job.Id]
+	for i, w := range workers {
+		failed := int32(i)+1 == m.Member && !m.Done
 		if failed || m.Done {
 			s.book.Record(quarantine.Outcome{
 				Worker: w,
@@ -142,9 +183,9 @@
 	}
 	ran := end.Sub(m.Started.AsTime())
 	expected := s.estimator.Estimate(s.request(job)).Median
-	speed := s.speeds.slowest(m.Workers)
+	speed := s.speeds.slowest(workers)
 	s.estimator.Observe(job.Team, job.Template, time.Duration(float64(ran)*speed))
-	s.speeds.observe(m.Workers, expected, ran)
+	s.speeds.observe(workers, expected, ran)
 }
 
 // request returns the planner's form of a job.
--- a/daisylugd/dispatch/board.go
+++ b/daisylugd/dispatch/board.go
@@ -75,23 +75,23 @@
 }
 
 // post stores the state that owner published, unless a later owner's state is
-// already known.
-func (b *board) post(owner string, content []byte, at time.Time) error {
+// already known, and reports whether it differs from the last one.
+func (b *board) post(owner string, content []byte, at time.Time) (changed bool, err error) {
 	m := new(schema.Rack)
 	if err := proto.Unmarshal(content, m); err != nil {
-		return &MessageError{Kind: "rack", Cause: err}
+		return false, &MessageError{Kind: "rack", Cause: err}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old, ok := b.racks[m.Name]
 	if ok && old.rack.Generation > m.Generation {
-		return nil
+		return false, nil
 	}
 	if ok && old.owner == owner && proto.Equal(old.rack, m) {
-		return nil
+		return false, nil
 	}
 	b.racks[m.Name] = posted{owner: owner, at: at, rack: m}
-	return nil
+	return true, nil
 }
 
 // get returns the state of a rack.
--- /dev/null
+++ b/daisylugd/dispatch/peer.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+)
+
+// Kinds of errors that pass between instances.
+const (
+	kindRole      = "role"
+	kindUnstarted = "unstarted"
+	kindGone      = "gone"
+)
+
+// Kind names the error to the calling instance.
+func (e *UnstartedError) Kind() string {
+	if e.Gone {
+		return kindGone
+	}
+	return kindUnstarted
+}
+
+// handlers registers the calls that other instances may make.
+func (d *Daemon) handlers() {
+	handle(d, MethodOffer, func(_ context.Context, m *schema.Offer) (proto.Message, error) {
+		return &schema.Empty{}, d.scheduler.offer(m.Jobs)
+	})
+	handle(d, MethodWithdraw, func(ctx context.Context, m *schema.Withdraw) (proto.Message, error) {
+		d.scheduler.withdraw(m.Jobs)
+		return &schema.Empty{}, nil
+	})
+	handle(d, MethodEnded, func(_ context.Context, m *schema.Ended) (proto.Message, error) {
+		d.scheduler.ended(m)
+		return &schema.Empty{}, nil
+	})
+	handle(d, MethodLaunch, func(ctx context.Context, m *schema.Launch) (proto.Message, error) {
+		return &schema.Empty{}, d.launcher.launch(ctx, m)
+	})
+	handle(d, MethodEvict, func(ctx context.Context, m *schema.Evict) (proto.Message, error) {
+		return reply(d.launcher.evict(ctx, m))
+	})
+	handle(d, MethodHalt, func(ctx context.Context, m *schema.Halt) (proto.Message, error) {
+		return &schema.Empty{}, d.launcher.halt(ctx, m)
+	})
+	handle(d, MethodSnapshot, func(context.Context, *schema.Empty) (proto.Message, error) {
+		encoded, err := d.catalogue.Snapshot().Encode()
+		return reply(&schema.Body{Json: encoded}, err)
+	})
+	handle(d, MethodStatus, func(context.Context, *schema.Empty) (proto.Message, error) {
+		encoded, err := json.Marshal(d.status(time.Now()))
+		return reply(&schema.Body{Json: encoded}, err)
+	})
+	handle(d, MethodQuote, d.serveForwarded)
+}
+
+// handle registers a handler for requests of type M.
+func handle[M any, P interface {
+	*M
+	proto.Message
+}](d *Daemon, method string, serve func(context.Context, P) (proto.Message, error)) {
+	d.group.Handle(method, func(ctx context.Context, _ platform.Instance, request []byte) (proto.Message, error) {
+		m := P(new(M))
+		if err := proto.Unmarshal(request, m); err != nil {
+			return nil, &MessageError{Kind: method, Cause: err}
+		}
+		return serve(ctx, m)
+	})
+}
+
+// toRackOwner calls a method on the owner of a rack, here or elsewhere.
+func toRackOwner[R proto.Message](ctx context.Context, d *Daemon, rack, method string, m proto.Message, response R, here func() (R, error)) (R, error) {
+	name, ok := d.racks.Assigned(rack)
+	if !ok {
+		return response, &RoleError{Role: "aware of an owner of rack " + rack}
+	}
+	if name == d.self.Name {
+		return here()
+	}
+	return response, d.group.Call(ctx, name, method, m, response)
+}
+
+// launch implements caller.
+func (d *Daemon) launch(ctx context.Context, m *schema.Launch) error {
+	_, err := toRackOwner(ctx, d, m.Rack, MethodLaunch, m, &schema.Empty{}, func() (*schema.Empty, error) {
+		return &schema.Empty{}, d.launcher.launch(ctx, m)
+	})
+	return unstarted(m, err)
+}
+
+// unstarted restores the *UnstartedError of a call to another instance.
+func unstarted(m *schema.Launch, err error) error {
+	var role *RoleError
+	var unsent *member.NotSentError
+	if errors.As(err, &role) || errors.As(err, &unsent) {
+		return &UnstartedError{Attempt: m.Job.Attempt, Cause: err}
+	}
+	var remote *member.RemoteError
+	if !errors.As(err, &remote) {
+		return err
+	}
+	switch remote.Kind {
+	case kindUnstarted:
+		return &UnstartedError{Attempt: m.Job.Attempt, Cause: err}
+	case kindGone:
+		return &UnstartedError{Attempt: m.Job.Attempt, Gone: true, Cause: err}
+	default:
+		return err
+	}
+}
+
+// evict implements caller.
+func (d *Daemon) evict(ctx context.Context, m *schema.Evict) (*schema.Evicted, error) {
+	return toRackOwner(ctx, d, m.Rack, MethodEvict, m, &schema.Evicted{}, func() (*schema.Evicted, error) {
+		return d.launcher.evict(ctx, m)
+	})
+}
+
+// halt implements caller.
+func (d *Daemon) halt(ctx context.Context, m *schema.Halt) error {
+	_, err := toRackOwner(ctx, d, m.Rack, MethodHalt, m, &schema.Empty{}, func() (*schema.Empty, error) {
+		return &schema.Empty{}, d.launcher.halt(ctx, m)
+	})
+	return err
+}
+
+// plannerOf returns the planner of a data centre.
+func (d *Daemon) plannerOf(centre string) (platform.Instance, bool) {
+	var members []platform.Instance
+	for _, i := range d.group.Members() {
+		if i.DataCentre == centre {
+			members = append(members, i)
+		}
+	}
+	return member.Owner(planKey(centre), members)
+}
+
+// callWait bounds notices to a planner. A lost notice is made up for by the
+// planner's scan of the open jobs.
+const callWait = 2 * time.Second
+
+// offer tells the planner of a data centre of accepted jobs.
+func (d *Daemon) offer(centre string, jobs ...*schema.Job) {
+	p, ok := d.plannerOf(centre)
+	if !ok {
+		return
+	}
+	if p.Name == d.self.Name {
+		_ = d.scheduler.offer(jobs)
+		return
+	}
+	d.notice(p.Name, MethodOffer, &schema.Offer{Jobs: jobs})
+}
+
+// withdraw tells the planner of a data centre of cancelled jobs.
+func (d *Daemon) withdraw(centre string, ids []string) {
+	p, ok := d.plannerOf(centre)
+	if !ok {
+		return
+	}
+	if p.Name == d.self.Name {
+		d.scheduler.withdraw(ids)
+		return
+	}
+	d.notice(p.Name, MethodWithdraw, &schema.Withdraw{Jobs: ids})
+}
+
+// notifyEnded tells the planner of the own data centre how an attempt ended.
+func (d *Daemon) notifyEnded(m *schema.Ended) {
+	p, ok := d.plannerOf(d.self.DataCentre)
+	if !ok {
+		return
+	}
+	if p.Name == d.self.Name {
+		d.scheduler.ended(m)
+		return
+	}
+	d.notice(p.Name, MethodEnded, m)
+}
+
+func (d *Daemon) notice(to, method string, m proto.Message) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callWait)
+		defer cancel()
+		if err := d.group.Call(ctx, to, method, m, &schema.Empty{}); err != nil {
+			d.log.V(1).Info(EventRetry, "what", method, "instance", to, "err", err)
+		}
+	}()
+}
--- /dev/null
+++ b/daisylugd/dispatch/record.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"daisylug.example/scheduler/schema"
+)
+
+type jobReply struct {
+	ID         string     `json:"id"`
+	Team       string     `json:"team"`
+	Template   string     `json:"template"`
+	Key        string     `json:"key"`
+	Shape      shapeBody  `json:"shape"`
+	Class      string     `json:"class"`
+	Deadline   *time.Time `json:"deadline,omitempty"`
+	Idempotent bool       `json:"idempotent"`
+	Estimate   float64    `json:"estimate"`
+	State      string     `json:"state"`
+	Attempt    int32      `json:"attempt"`
+	Centre     string     `json:"centre"`
+	Rack       string     `json:"rack,omitempty"`
+	Accepted   *time.Time `json:"accepted,omitempty"`
+	Started    *time.Time `json:"started,omitempty"`
+	Ended      *time.Time `json:"ended,omitempty"`
+	Reason     string     `json:"reason,omitempty"`
+	Results    []string   `json:"results,omitempty"`
+}
+
+type listReply struct {
+	Jobs []jobReply `json:"jobs"`
+	Next string     `json:"next,omitempty"`
+}
+
+// writeJob answers with a job and, if it is done, its results.
+func (d *Daemon) writeJob(ctx khttp.Context, status int, job *schema.Job) error {
+	body := jobBody(job)
+	if job.State == schema.State_STATE_DONE {
+		results, err := d.ledger.Results(callContext(ctx), job)
+		if err != nil {
+			return NewFailure(FailureUnavailable, err.Error()).WithRan(RanYes).WithCause(err)
+		}
+		for _, r := range results {
+			body.Results = append(body.Results, string(r))
+		}
+	}
+	return writeJSON(ctx, status, body)
+}
+
+func jobBody(job *schema.Job) jobReply {
+	return jobReply{
+		ID:         job.Id,
+		Team:       job.Team,
+		Template:   job.Template,
+		Key:        job.Key,
+		Shape:      shapeBody{Workers: job.Shape.GetWorkers(), Accelerators: job.Shape.GetAccelerators()},
+		Class:      className(job.Class),
+		Deadline:   timeOf(job.Deadline),
+		Idempotent: job.Idempotent,
+		Estimate:   job.Estimate,
+		State:      stateName(job.State),
+		Attempt:    job.Attempt,
+		Centre:     job.Centre,
+		Rack:       job.Rack,
+		Accepted:   timeOf(job.Accepted),
+		Started:    timeOf(job.Started),
+		Ended:      timeOf(job.Ended),
+		Reason:     job.Reason,
+	}
+}
+
+func timeOf(t *timestamppb.Timestamp) *time.Time {
+	if t == nil {
+		return nil
+	}
+	v := t.AsTime()
+	return &v
+}
+
+func className(c schema.Class) string {
+	return strings.ToLower(strings.TrimPrefix(c.String(), "CLASS_"))
+}
+
+func stateName(s schema.State) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "STATE_"))
+}
+
+// stateOf returns the state of a name; the empty name selects all.
+func stateOf(name string) (schema.State, error) {
+	if name == "" {
+		return schema.State_STATE_UNSPECIFIED, nil
+	}
+	s, ok := schema.State_value["STATE_"+strings.ToUpper(name)]
+	if !ok || s == 0 {
+		return 0, NewFieldFailure("state", "is not a state of a job")
+	}
+	return schema.State(s), nil
+}
--- a/daisylugd/dispatch/scheduler.go
+++ b/daisylugd/dispatch/scheduler.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"daisylug.example/scheduler/balance"
 	"daisylug.example/scheduler/ledger"
 	"daisylug.example/scheduler/member"
 	"daisylug.example/scheduler/planner"
@@ -45,20 +46,24 @@
 	catalogue *template.Catalogue
 	board     *board
 	planner   *planner.Planner
-	balances  balances
+	balance   *balance.Account
 	caller    caller
+	grace     time.Duration
 	log       klog.Logger
 	wakes     chan struct{}
 
-	mu        sync.Mutex
-	active    bool
-	loaded    bool
-	cursor    string
-	scanned   time.Time
-	pending   *queue.Queue
-	records   map[string]*schema.Job
-	shares    map[string]float64
-	starting  map[string]starting
+	mu       sync.Mutex
+	active   bool
+	loaded   bool
+	cursor   string
+	scanned  time.Time
+	pending  *queue.Queue
+	unpaid   map[string]*schema.Job
+	records  map[string]*schema.Job
+	shares   map[string]float64
+	starting map[string]starting
+	// places holds the workers of the gangs started here, by member.
+	places    map[string][]string
 	stopping  map[string]time.Time
 	missing   map[string]time.Time
 	holds     []planner.Hold
@@ -77,11 +82,6 @@
 	launched bool
 }
 
-// balances tells whether a team may use more accelerators.
-type balances interface {
-	admits(team string) bool
-}
-
 // caller carries decisions to the rack owners.
 type caller interface {
 	launch(ctx context.Context, m *schema.Launch) error
@@ -89,7 +89,7 @@
 	halt(ctx context.Context, m *schema.Halt) error
 }
 
-func newScheduler(self platform.Instance, group *member.Group, l *ledger.Ledger, catalogue *template.Catalogue, b *board, p *planner.Planner, balances balances, c caller, log klog.Logger) *scheduler {
+func newScheduler(self platform.Instance, group *member.Group, l *ledger.Ledger, catalogue *template.Catalogue, b *board, p *planner.Planner, account *balance.Account, c caller, grace time.Duration, log klog.Logger) *scheduler {
 	s := &scheduler{
 		self:      self,
 		group:     group,
@@ -97,8 +97,9 @@
 		catalogue: catalogue,
 		board:     b,
 		planner:   p,
-		balances:  balances,
+		balance:   account,
 		caller:    c,
+		grace:     grace,
 		log:       log,
 		wakes:     make(chan struct{}, 1),
 		estimator: queue.NewEstimator(),
@@ -114,8 +115,10 @@
 	s.loaded = false
 	s.cursor = ""
 	s.pending = queue.New()
+	s.unpaid = make(map[string]*schema.Job)
 	s.records = make(map[string]*schema.Job)
 	s.shares = make(map[string]float64)
+	s.places = make(map[string][]string)
 	s.starting = make(map[string]starting)
 	s.stopping = make(map[string]time.Time)
 	s.missing = make(map[string]time.Time)
@@ -154,6 +157,7 @@
 	s.mu.Lock()
 	s.reconcile(ctx, now)
 	in := s.input(now)
+	s.charge(ctx, in, now)
 	result := s.planner.Decide(in)
 	s.holds = result.Holds
 	s.carryOut(ctx, result, now)
--- a/daisylugd/main.go
+++ b/daisylugd/main.go
@@ -1,4 +1,12 @@
 // Command daisylugd is the entry daemon of daisylug.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"daisylug.example/daisylugd/dispatch"
+)
+
+func main() {
+	os.Exit(dispatch.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/scheduler/platform/remote/worker.go
+++ b/scheduler/platform/remote/worker.go
@@ -134,3 +134,6 @@
 func (w *Worker) Probe(ctx context.Context) (platform.Load, error) {
 	return call[platform.Load](ctx, w.c, reading, "/probe", none{})
 }
+
+// NewWorker returns a client of one worker at its listed address.
+func NewWorker(info platform.WorkerInfo, o Options) *Worker { return newWorker(info, o) }
