--- a/scheduler/queue/job.go
+++ b/scheduler/queue/job.go
@@ -3,6 +3,7 @@
 package queue
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -43,6 +44,20 @@
 	Avoid []string
 }
 
+// share returns the part of the work that is not yet done.
+func (j Job) share() float64 {
+	if j.Remaining <= 0 || j.Remaining > 1 {
+		return 1
+	}
+	return j.Remaining
+}
+
+func (j Job) older(o Job) bool { return j.compareAge(o) < 0 }
+
+func (j Job) compareAge(o Job) int {
+	return cmp.Or(j.Accepted.Compare(o.Accepted), cmp.Compare(j.ID, o.ID))
+}
+
 // Reason tells why a job is refused.
 type Reason string
 
--- a/scheduler/queue/queue.go
+++ b/scheduler/queue/queue.go
@@ -1,45 +1,247 @@
 package queue
 
-import "time"
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
 
-// Queue holds pending jobs. It is not safe for concurrent use.
+	"daisylug.example/scheduler/gang"
+)
+
+// Queue holds pending jobs. Jobs that differ in nothing that matters for their
+// order except their age share a bucket, and only the oldest of each bucket
+// competes. A burst of equal jobs therefore costs about the same for each job
+// as a single one. Queue is not safe for concurrent use.
 type Queue struct {
-	jobs map[string]Job
+	buckets map[key]*bucket
+	// order lists the buckets in the order of their creation, so that the
+	// results do not depend on the iteration order of the map.
+	order   []*bucket
+	entries map[string]*entry
+}
+
+// key is what jobs of one bucket have in common.
+type key struct {
+	team     string
+	template string
+	class    Class
+	priority int
+	shape    gang.Shape
+	fixed    bool
+	// declared and remaining are binary orders of magnitude.
+	declared  int
+	remaining int
+	// deadline is truncated to deadlineStep.
+	deadline time.Time
+	avoid    string
+}
+
+// deadlineStep is the difference of deadlines that does not affect the order.
+const deadlineStep = time.Minute
+
+func keyOf(j Job) key {
+	k := key{
+		team: j.Team, template: j.Template, class: j.Class, priority: j.Priority, shape: j.Shape, fixed: j.Fixed,
+		declared:  bits.Len64(uint64(max(0, j.Declared/time.Second))),
+		remaining: bits.Len(uint(j.share() * 1000)),
+		avoid:     strings.Join(j.Avoid, ","),
+	}
+	if !j.Deadline.IsZero() {
+		k.deadline = j.Deadline.Truncate(deadlineStep).UTC()
+	}
+	return k
+}
+
+// bucket lists entries by age. Removed entries stay until they are half of the
+// list.
+type bucket struct {
+	key     key
+	entries []*entry
+	live    int
+}
+
+type entry struct {
+	job     Job
+	bucket  *bucket
+	removed bool
 }
 
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{jobs: map[string]Job{}}
+	return &Queue{buckets: map[key]*bucket{}, entries: map[string]*entry{}}
 }
 
 // Add adds a job and reports whether it was new.
 func (q *Queue) Add(j Job) bool {
-	if _, ok := q.jobs[j.ID]; ok {
+	if _, ok := q.entries[j.ID]; ok {
 		return false
 	}
-	q.jobs[j.ID] = j
+	k := keyOf(j)
+	b := q.buckets[k]
+	if b == nil {
+		b = &bucket{key: k}
+		q.buckets[k] = b
+		q.order = append(q.order, b)
+	}
+	e := &entry{job: j, bucket: b}
+	q.entries[j.ID] = e
+	b.insert(e)
 	return true
 }
 
+func (b *bucket) insert(e *entry) {
+	b.live++
+	n := len(b.entries)
+	if n == 0 || !e.job.older(b.entries[n-1].job) {
+		b.entries = append(b.entries, e)
+		return
+	}
+	at, _ := slices.BinarySearchFunc(b.entries, e, func(a, b *entry) int {
+		return a.job.compareAge(b.job)
+	})
+	b.entries = slices.Insert(b.entries, at, e)
+}
+
 // Remove removes a job that was started, cancelled or refused and reports
 // whether it was pending.
 func (q *Queue) Remove(id string) bool {
-	_, ok := q.jobs[id]
-	delete(q.jobs, id)
-	return ok
+	e, ok := q.entries[id]
+	if !ok {
+		return false
+	}
+	delete(q.entries, id)
+	e.removed = true
+	b := e.bucket
+	b.live--
+	if b.live == 0 {
+		delete(q.buckets, b.key)
+		b.entries = nil
+		q.compact()
+		return true
+	}
+	if b.live < len(b.entries)/2 {
+		b.entries = slices.DeleteFunc(b.entries, func(e *entry) bool { return e.removed })
+	}
+	return true
+}
+
+// compact drops empty buckets once they are half of the order.
+func (q *Queue) compact() {
+	if len(q.buckets) < len(q.order)/2 {
+		q.order = slices.DeleteFunc(q.order, func(b *bucket) bool { return b.live == 0 })
+	}
 }
 
 // Get returns a pending job.
 func (q *Queue) Get(id string) (Job, bool) {
-	j, ok := q.jobs[id]
-	return j, ok
+	e, ok := q.entries[id]
+	if !ok {
+		return Job{}, false
+	}
+	return e.job, true
 }
 
 // Len returns the number of pending jobs.
-func (q *Queue) Len() int { return len(q.jobs) }
+func (q *Queue) Len() int { return len(q.entries) }
+
+// Round iterates over the pending jobs in the order in which they should
+// start. It does not change the queue, and the queue must not change during
+// the round.
+type Round struct {
+	estimator *Estimator
+	now       time.Time
+	heads     []head
+}
+
+// head is the oldest job of a bucket that the round has not passed.
+type head struct {
+	rank   rank
+	bucket *bucket
+	next   int
+}
+
+// Round starts an iteration.
+func (q *Queue) Round(e *Estimator, now time.Time) *Round {
+	r := &Round{estimator: e, now: now, heads: make([]head, 0, len(q.buckets))}
+	for _, b := range q.order {
+		r.push(b, 0)
+	}
+	return r
+}
+
+// Next returns the job that should start first among those not yet passed. The
+// caller then calls Pass or Skip.
+func (r *Round) Next() (Job, bool) {
+	if len(r.heads) == 0 {
+		return Job{}, false
+	}
+	h := r.heads[0]
+	return h.bucket.entries[h.next].job, true
+}
 
-// Order returns the pending jobs in the order in which they should start.
+// Pass moves on to the next job.
+func (r *Round) Pass() {
+	h := r.pop()
+	r.push(h.bucket, h.next+1)
+}
+
+// Skip passes the job and all jobs of its bucket, which have the same needs.
+func (r *Round) Skip() { r.pop() }
+
+// push adds the first entry of the bucket at or after next to the heap.
+func (r *Round) push(b *bucket, next int) {
+	for next < len(b.entries) && b.entries[next].removed {
+		next++
+	}
+	if next >= len(b.entries) {
+		return
+	}
+	j := &b.entries[next].job
+	r.heads = append(r.heads, head{rank: rankOf(j, r.estimator, r.now), bucket: b, next: next})
+	i := len(r.heads) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if r.heads[parent].rank.compare(r.heads[i].rank) <= 0 {
+			return
+		}
+		r.heads[parent], r.heads[i] = r.heads[i], r.heads[parent]
+		i = parent
+	}
+}
+
+func (r *Round) pop() head {
+	top := r.heads[0]
+	last := len(r.heads) - 1
+	r.heads[0] = r.heads[last]
+	r.heads = r.heads[:last]
+	i := 0
+	for {
+		child := 2*i + 1
+		if child >= last {
+			return top
+		}
+		if child+1 < last && r.heads[child+1].rank.compare(r.heads[child].rank) < 0 {
+			child++
+		}
+		if r.heads[i].rank.compare(r.heads[child].rank) <= 0 {
+			return top
+		}
+		r.heads[i], r.heads[child] = r.heads[child], r.heads[i]
+		i = child
+	}
+}
+
+// Order returns the jobs in the order in which they should start.
 func Order(jobs []Job, e *Estimator, now time.Time) []Job {
-	_, _ = e, now
-	return jobs
+	ranks := make(map[string]rank, len(jobs))
+	for i := range jobs {
+		ranks[jobs[i].ID] = rankOf(&jobs[i], e, now)
+	}
+	ordered := slices.Clone(jobs)
+	slices.SortFunc(ordered, func(a, b Job) int {
+		return cmp.Or(ranks[a.ID].compare(ranks[b.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	return ordered
 }
