--- /dev/null
+++ b/daisylug/console/failure.go
@@ -0,0 +1,219 @@
+package console
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Exit codes of the command line. They are part of its interface.
+const (
+	ExitOK          = 0
+	ExitFault       = 1
+	ExitUsage       = 2
+	ExitRefused     = 3
+	ExitUnknown     = 4
+	ExitConflict    = 5
+	ExitUnreachable = 6
+	ExitFailed      = 7
+	ExitPending     = 8
+	ExitNotFound    = 9
+	ExitDiffers     = 10
+	ExitCancelled   = 11
+	ExitInterrupted = 130
+)
+
+// exitMeaning describes one exit code in the help text and the man page.
+type exitMeaning struct {
+	code int
+	text string
+}
+
+var exitMeanings = []exitMeaning{
+	{ExitOK, "success"},
+	{ExitFault, "a fault in daisylug, or output that cannot be written"},
+	{ExitUsage, "wrong arguments or an unreadable input file; nothing was sent"},
+	{ExitRefused, "refused, and not run"},
+	{ExitUnknown, "the outcome is unknown: the work or change may have been carried out"},
+	{ExitConflict, "conflict: another change came first, or the key was used for other content"},
+	{ExitUnreachable, "no server could be reached; nothing was run or changed"},
+	{ExitFailed, "the work ran and failed"},
+	{ExitPending, "still pending when the time to wait had passed"},
+	{ExitNotFound, "no such job, team or template"},
+	{ExitDiffers, "diff found differences"},
+	{ExitCancelled, "the job was cancelled"},
+	{ExitInterrupted, "interrupted by a signal"},
+}
+
+// Values of the field ran of a failure.
+const (
+	ranNo      = "no"
+	ranYes     = "yes"
+	ranUnknown = "unknown"
+)
+
+// Types of failures that the command line tells apart. They are part of the
+// HTTP interface.
+const (
+	typeConflict    = "conflict"
+	typeNotFound    = "not_found"
+	typeOverload    = "overload"
+	typeUnavailable = "unavailable"
+	typeLeaving     = "shutting_down"
+	typeUnknown     = "outcome_unknown"
+	typeInternal    = "internal"
+)
+
+// Types that the command line adds for failures it finds itself.
+const (
+	typeUsage       = "usage"
+	typeUnreachable = "unreachable"
+	typeFailed      = "work_failed"
+	typePending     = "pending"
+	typeDiffers     = "differs"
+	typeCancelled   = "cancelled"
+	typeInterrupted = "interrupted"
+)
+
+// failure is an error with an exit code.
+type failure interface {
+	error
+	exit() int
+	// kind and ran fill the fields type and ran of the JSON error.
+	kind() string
+	ran() string
+}
+
+// exitCode returns the exit code for err.
+func exitCode(err error) int {
+	var f failure
+	if errors.As(err, &f) {
+		return f.exit()
+	}
+	return ExitFault
+}
+
+// UsageError reports wrong arguments or unreadable input.
+type UsageError struct {
+	Cause error
+}
+
+func usageError(cause error) *UsageError { return &UsageError{Cause: cause} }
+
+func (e *UsageError) Error() string { return e.Cause.Error() }
+func (e *UsageError) Unwrap() error { return e.Cause }
+func (e *UsageError) exit() int     { return ExitUsage }
+func (e *UsageError) kind() string  { return typeUsage }
+func (e *UsageError) ran() string   { return ranNo }
+
+// ServerError is the error body of an instance's answer.
+type ServerError struct {
+	Status  int    `json:"-"`
+	Type    string `json:"type"`
+	Message string `json:"message"`
+	Field   string `json:"field,omitempty"`
+	Ran     string `json:"ran"`
+	Version int64  `json:"version,omitempty"`
+}
+
+func (e *ServerError) Error() string {
+	var b strings.Builder
+	b.WriteString(e.Type + ": ")
+	if e.Field != "" {
+		b.WriteString(e.Field + " ")
+	}
+	b.WriteString(e.Message)
+	if e.Version > 0 {
+		fmt.Fprintf(&b, "; version %d is in force", e.Version)
+	}
+	if e.Ran != "" {
+		b.WriteString(" (ran: " + e.Ran + ")")
+	}
+	return b.String()
+}
+
+func (e *ServerError) kind() string { return e.Type }
+func (e *ServerError) ran() string  { return e.Ran }
+
+func (e *ServerError) exit() int {
+	switch {
+	case e.Type == typeConflict:
+		return ExitConflict
+	case e.Type == typeNotFound:
+		return ExitNotFound
+	case e.Type == typeUnknown || e.Ran == ranUnknown:
+		return ExitUnknown
+	case e.Ran == ranYes:
+		return ExitFailed
+	case e.Ran == ranNo:
+		return ExitRefused
+	default:
+		return ExitFault
+	}
+}
+
+// UnreachableError reports that no server answered and nothing was changed.
+type UnreachableError struct {
+	Cause error
+}
+
+func (e *UnreachableError) Error() string { return "no server could be reached: " + e.Cause.Error() }
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+func (e *UnreachableError) exit() int     { return ExitUnreachable }
+func (e *UnreachableError) kind() string  { return typeUnreachable }
+func (e *UnreachableError) ran() string   { return ranNo }
+
+// UnknownError reports a call that was sent and whose outcome is not known.
+type UnknownError struct {
+	Cause error
+}
+
+func (e *UnknownError) Error() string { return "the outcome is unknown: " + e.Cause.Error() }
+func (e *UnknownError) Unwrap() error { return e.Cause }
+func (e *UnknownError) exit() int     { return ExitUnknown }
+func (e *UnknownError) kind() string  { return typeUnknown }
+func (e *UnknownError) ran() string   { return ranUnknown }
+
+// InterruptedError reports a command that a signal ended.
+type InterruptedError struct {
+	Cause error
+}
+
+func (e *InterruptedError) Error() string {
+	if errors.Is(e.Cause, context.Canceled) {
+		return "interrupted"
+	}
+	return "interrupted: " + e.Cause.Error()
+}
+
+func (e *InterruptedError) Unwrap() error { return e.Cause }
+func (e *InterruptedError) exit() int     { return ExitInterrupted }
+func (e *InterruptedError) kind() string  { return typeInterrupted }
+func (e *InterruptedError) ran() string   { return ranUnknown }
+
+// PendingError reports something that had not happened when the time to wait
+// had passed.
+type PendingError struct {
+	What   string
+	Waited time.Duration
+}
+
+func (e *PendingError) Error() string {
+	return fmt.Sprintf("%s after %v", e.What, e.Waited.Round(time.Millisecond))
+}
+
+func (e *PendingError) exit() int    { return ExitPending }
+func (e *PendingError) kind() string { return typePending }
+func (e *PendingError) ran() string  { return ranUnknown }
+
+// DiffersError reports that a file differs from what is in force.
+type DiffersError struct {
+	Count int
+}
+
+func (e *DiffersError) Error() string { return fmt.Sprintf("%d differ", e.Count) }
+func (e *DiffersError) exit() int     { return ExitDiffers }
+func (e *DiffersError) kind() string  { return typeDiffers }
+func (e *DiffersError) ran() string   { return ranNo }
