--- /dev/null
+++ b/daisylug/console/attempt.go
@@ -0,0 +1,90 @@
+package console
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+var (
+	errLarge      = errors.New("it is too large")
+	errIncomplete = errors.New("the answer is incomplete")
+	errForeign    = errors.New("it has no daisylug error body")
+)
+
+// LostError reports an attempt without a complete answer.
+type LostError struct {
+	// Sent is set if a part of the request may have been sent.
+	Sent  bool
+	Cause error
+}
+
+func (e *LostError) Error() string { return e.Cause.Error() }
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// AnswerError reports an answer that does not follow the HTTP interface.
+type AnswerError struct {
+	Status int
+	Cause  error
+}
+
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("unexpected answer with status %d: %v", e.Status, e.Cause)
+}
+
+func (e *AnswerError) Unwrap() error { return e.Cause }
+func (e *AnswerError) exit() int     { return ExitFault }
+func (e *AnswerError) kind() string  { return typeInternal }
+func (e *AnswerError) ran() string   { return ranUnknown }
+
+// AttemptsError groups the errors of all servers that were tried.
+type AttemptsError struct {
+	servers []server
+	errors  []error
+	// uncertain is set if a failed attempt may have been carried out.
+	uncertain bool
+}
+
+func (e *AttemptsError) add(s server, err error) {
+	e.servers = append(e.servers, s)
+	e.errors = append(e.errors, err)
+	var lost *LostError
+	var refused *ServerError
+	switch {
+	case errors.As(err, &lost):
+		e.uncertain = e.uncertain || lost.Sent
+	case errors.As(err, &refused):
+		e.uncertain = e.uncertain || refused.Ran != ranNo
+	}
+}
+
+func (e *AttemptsError) Error() string {
+	lines := make([]string, len(e.errors))
+	for i, err := range e.errors {
+		lines[i] = e.servers[i].base + ": " + err.Error()
+	}
+	return strings.Join(lines, "; ")
+}
+
+func (e *AttemptsError) Unwrap() []error { return e.errors }
+
+// outcome returns the error of the whole call. The answer of the last attempt
+// decides, unless an earlier one may have been carried out.
+func (e *AttemptsError) outcome(q call) error {
+	last := e.errors[len(e.errors)-1]
+	var lost *LostError
+	if errors.As(last, &lost) {
+		return e.unanswered(q)
+	}
+	if len(e.errors) > 1 && e.uncertain && !q.reads() {
+		return &UnknownError{Cause: e}
+	}
+	return last
+}
+
+func (e *AttemptsError) unanswered(q call) error {
+	if e.uncertain && !q.reads() {
+		return &UnknownError{Cause: e}
+	}
+	return &UnreachableError{Cause: e}
+}
--- a/daisylug/console/printer.go
+++ b/daisylug/console/printer.go
@@ -1,10 +1,13 @@
 package console
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 )
@@ -64,6 +67,76 @@
 // gap starts a new group of columns after an empty line.
 func (t *table) gap() { t.row("") }
 
+// fields adds one line for each field of d, the named ones first.
+func (t *table) fields(d document, names ...string) {
+	for _, name := range columns([]document{d}, names) {
+		if value, ok := d[name]; ok {
+			t.row(name, cell(value))
+		}
+	}
+}
+
+// grid adds a heading and one line for each of rows. Fields that are not in
+// names come last, so that those of a newer daemon are shown as well.
+func (t *table) grid(rows []document, names ...string) {
+	names = columns(rows, names)
+	heading := make([]string, len(names))
+	for i, name := range names {
+		heading[i] = strings.ToUpper(name)
+	}
+	t.row(heading...)
+	for _, d := range rows {
+		line := make([]string, len(names))
+		for i, name := range names {
+			line[i] = cell(d[name])
+		}
+		t.row(line...)
+	}
+}
+
+func columns(rows []document, names []string) []string {
+	all := slices.Clone(names)
+	for _, d := range rows {
+		for _, name := range slices.Sorted(maps.Keys(d)) {
+			if !slices.Contains(all, name) {
+				all = append(all, name)
+			}
+		}
+	}
+	return all
+}
+
+// cell returns the text of one JSON value.
+func cell(value any) string {
+	switch v := value.(type) {
+	case nil:
+		return "-"
+	case string:
+		return cmp.Or(v, "-")
+	case map[string]any:
+		return cellOfObject(v)
+	case []any:
+		parts := make([]string, len(v))
+		for i, one := range v {
+			parts[i] = cell(one)
+		}
+		return strings.Join(parts, ",")
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func cellOfObject(v map[string]any) string {
+	if v["workers"] != nil && v["accelerators"] != nil && len(v) == 2 {
+		return cell(v["workers"]) + "x" + cell(v["accelerators"])
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(v)) {
+		parts = append(parts, name+"="+cell(v[name]))
+	}
+	return strings.Join(parts, " ")
+}
+
 func (t *table) flush() error {
 	return errors.Join(t.err, t.writer.Flush())
 }
--- /dev/null
+++ b/daisylug/console/resource.go
@@ -0,0 +1,359 @@
+package console
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+)
+
+// resource is a kind of configuration that operators edit.
+type resource struct {
+	kind   string
+	plural string
+	fields []string
+}
+
+func (r resource) path(name string) string {
+	return "/v1/" + r.plural + "/" + url.PathEscape(name)
+}
+
+// list prints all of them.
+func (r resource) list(s *session) error {
+	a, err := s.client.get(s.ctx, "/v1/"+r.plural, nil)
+	if err != nil {
+		return err
+	}
+	var all document
+	if err := a.decode(&all); err != nil {
+		return err
+	}
+	return s.printer.print(all, func(t *table) { t.grid(all.list(r.plural), r.fields...) })
+}
+
+// get prints one.
+func (r resource) get(s *session, name string) error {
+	d, err := r.read(s, name)
+	if err != nil {
+		return err
+	}
+	return s.printer.print(d, func(t *table) { t.fields(d, r.fields...) })
+}
+
+// read returns one with its version.
+func (r resource) read(s *session, name string) (document, error) {
+	a, err := s.client.get(s.ctx, r.path(name), nil)
+	if err != nil {
+		return nil, err
+	}
+	var d document
+	if err := a.decode(&d); err != nil {
+		return nil, err
+	}
+	if d.number("version") < 1 {
+		return nil, &AnswerError{Status: a.status, Cause: errVersion}
+	}
+	return d, nil
+}
+
+var errVersion = errors.New("it has no version")
+
+// readFile returns the documents of a file, or of the standard input for -.
+func (r resource) readFile(s *session, file string) ([]document, error) {
+	var content []byte
+	var err error
+	if file == "-" {
+		content, err = io.ReadAll(s.In)
+	} else {
+		content, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return nil, usageError(err)
+	}
+	return parseDocuments(file, r.plural, content)
+}
+
+// plan is what applying one document would do.
+type plan struct {
+	name string
+	// version is the one in force; 0 if there is none yet.
+	version int64
+	// wanted is the whole of what shall be in force.
+	wanted  document
+	changes []change
+}
+
+// plan compares d with what is in force. Fields that d leaves out keep their
+// values, so that a file that names few fields cannot drop a guarantee.
+func (r resource) plan(s *session, d document) (*plan, error) {
+	p := &plan{name: d.text("name")}
+	current, err := r.read(s, p.name)
+	if err != nil && exitCode(err) != ExitNotFound {
+		return nil, err
+	}
+	if err == nil {
+		p.version = current.number("version")
+	}
+	if given := d.number("version"); given > 0 && given != p.version {
+		message := fmt.Sprintf("the file was made from version %d of %s %s", given, r.kind, p.name)
+		return nil, &ServerError{Type: typeConflict, Message: message, Version: p.version, Ran: ranNo}
+	}
+	before := current.without("version", "config")
+	p.wanted = before.with(d.without("version", "config"))
+	p.changes = differences(before, p.wanted)
+	return p, nil
+}
+
+// put sends the change under the version that was read. It is repeatable: a
+// second arrival meets a version that the first one has raised.
+func (r resource) put(p *plan) call {
+	header := http.Header{}
+	if p.version == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", strconv.Quote(strconv.FormatInt(p.version, 10)))
+	}
+	return call{method: http.MethodPut, path: r.path(p.name), header: header, body: p.wanted, repeatable: true}
+}
+
+// outcome tells what became of one document.
+type outcome struct {
+	Name    string   `json:"name"`
+	Result  string   `json:"result"`
+	Version int64    `json:"version,omitempty"`
+	Config  int64    `json:"config,omitempty"`
+	Changes []change `json:"changes,omitempty"`
+}
+
+// Results of an outcome.
+const (
+	resultCreated   = "created"
+	resultChanged   = "changed"
+	resultUnchanged = "unchanged"
+	resultFailed    = "failed"
+	resultUntried   = "not tried"
+)
+
+// change carries out p.
+func (r resource) change(s *session, p *plan) (outcome, error) {
+	o := outcome{Name: p.name, Result: resultUnchanged, Version: p.version}
+	if p.version > 0 && len(p.changes) == 0 {
+		return o, nil
+	}
+	o.Result, o.Changes = resultChanged, p.changes
+	if p.version == 0 {
+		o.Result = resultCreated
+	}
+	a, err := s.client.do(s.ctx, r.put(p))
+	if err != nil {
+		return r.settle(s, p, o, err)
+	}
+	var reply document
+	if err := a.decode(&reply); err != nil {
+		return r.settle(s, p, o, &UnknownError{Cause: err})
+	}
+	o.Version, o.Config = reply.number("version"), reply.number("config")
+	return o, nil
+}
+
+const (
+	// settleLimit is the time within which an accepted change is in effect
+	// everywhere.
+	settleLimit = 6 * time.Second
+	settlePoll  = 200 * time.Millisecond
+)
+
+// settle resolves a change with an unknown outcome by reading what is in
+// force, until settleLimit has passed.
+func (r resource) settle(s *session, p *plan, o outcome, err error) (outcome, error) {
+	failed := outcome{Name: p.name, Result: resultFailed}
+	var unknown *UnknownError
+	if !errors.As(err, &unknown) {
+		return failed, r.explain(p, err)
+	}
+	for deadline := time.Now().Add(settleLimit); time.Now().Before(deadline); {
+		current, lost := r.read(s, p.name)
+		if lost == nil && current.number("version") > p.version {
+			return r.judge(p, o, current, err)
+		}
+		if sleep(s.ctx, settlePoll) != nil {
+			break
+		}
+	}
+	return failed, r.explain(p, err)
+}
+
+// judge compares the version that followed the one read with the change. If
+// the next version is another change, this one can never be accepted; after
+// further versions it is not known whether it was.
+func (r resource) judge(p *plan, o outcome, current document, err error) (outcome, error) {
+	failed := outcome{Name: p.name, Result: resultFailed}
+	version := current.number("version")
+	if version != p.version+1 {
+		return failed, r.explain(p, err)
+	}
+	if len(differences(current.without("version", "config"), p.wanted)) > 0 {
+		conflict := &ServerError{Type: typeConflict, Message: "another change came first", Version: version, Ran: ranNo}
+		return failed, r.explain(p, conflict)
+	}
+	o.Version = version
+	return o, nil
+}
+
+// ApplyError adds to a failure what it concerns and how to go on.
+type ApplyError struct {
+	Kind  string
+	Name  string
+	Cause error
+}
+
+func (r resource) explain(p *plan, err error) error {
+	return &ApplyError{Kind: r.kind, Name: p.name, Cause: err}
+}
+
+func (e *ApplyError) Error() string {
+	text := e.Kind + " " + e.Name + ": " + e.Cause.Error()
+	if exitCode(e.Cause) == ExitConflict {
+		text += "; look at it with: daisylug " + e.Kind + " diff, then apply again"
+	}
+	return text
+}
+
+func (e *ApplyError) Unwrap() error { return e.Cause }
+
+// apply carries out the documents of a file in their order and stops at the
+// first failure, because later changes may rely on earlier ones.
+func (r resource) apply(s *session, c applyFlags) error {
+	list, err := r.readFile(s, c.File)
+	if err != nil {
+		return err
+	}
+	report := &applyReport{Results: make([]outcome, len(list))}
+	for i, d := range list {
+		if err != nil {
+			report.Results[i] = outcome{Name: d.text("name"), Result: resultUntried}
+			continue
+		}
+		report.Results[i], err = r.applyOne(s, d)
+	}
+	accepted := time.Now()
+	if err == nil && c.Wait {
+		report.Force, err = s.awaitForce(report.config(), accepted, c.For)
+	}
+	return errors.Join(s.printer.print(report, report.draw), err)
+}
+
+func (r resource) applyOne(s *session, d document) (outcome, error) {
+	p, err := r.plan(s, d)
+	if err != nil {
+		name := d.text("name")
+		return outcome{Name: name, Result: resultFailed}, r.explain(&plan{name: name}, err)
+	}
+	return r.change(s, p)
+}
+
+// applyReport is the output of apply.
+type applyReport struct {
+	Results []outcome `json:"results"`
+	Force   *force    `json:"force,omitempty"`
+}
+
+// config returns the configuration version with which all changes are in
+// force, or 0 if that of one of them is not known.
+func (r *applyReport) config() int64 {
+	var highest int64
+	for _, o := range r.Results {
+		if o.Config == 0 {
+			return 0
+		}
+		highest = max(highest, o.Config)
+	}
+	return highest
+}
+
+func (r *applyReport) draw(t *table) {
+	t.row("NAME", "RESULT", "VERSION", "CONFIG")
+	for _, o := range r.Results {
+		t.row(o.Name, o.Result, orDash(o.Version), orDash(o.Config))
+	}
+	if r.Force != nil {
+		t.gap()
+		r.Force.draw(t)
+	}
+}
+
+func orDash(n int64) string {
+	if n == 0 {
+		return "-"
+	}
+	return strconv.FormatInt(n, 10)
+}
+
+// diffEntry is the output of diff for one document.
+type diffEntry struct {
+	Name    string   `json:"name"`
+	Version int64    `json:"version"`
+	Changes []change `json:"changes"`
+}
+
+// diff prints what apply would change.
+func (r resource) diff(s *session, file string) error {
+	list, err := r.readFile(s, file)
+	if err != nil {
+		return err
+	}
+	entries := []diffEntry{}
+	for _, d := range list {
+		p, err := r.plan(s, d)
+		if err != nil {
+			return r.explain(&plan{name: d.text("name")}, err)
+		}
+		if p.version == 0 || len(p.changes) > 0 {
+			entries = append(entries, diffEntry{Name: p.name, Version: p.version, Changes: p.changes})
+		}
+	}
+	if err := s.printer.print(map[string]any{r.plural: entries}, func(t *table) { drawDiff(t, entries) }); err != nil {
+		return err
+	}
+	if len(entries) > 0 {
+		return &DiffersError{Count: len(entries)}
+	}
+	return nil
+}
+
+func drawDiff(t *table, entries []diffEntry) {
+	if len(entries) == 0 {
+		return
+	}
+	t.row("NAME", "VERSION", "FIELD", "IN FORCE", "FILE")
+	for _, e := range entries {
+		version := "new"
+		if e.Version > 0 {
+			version = strconv.FormatInt(e.Version, 10)
+		}
+		for _, c := range e.Changes {
+			t.row(e.Name, version, c.Field, cell(c.From), cell(c.To))
+		}
+	}
+}
+
+// applyFlags are the arguments of the apply commands.
+type applyFlags struct {
+	File string        `arg:"" help:"JSON file with one object, a list of them, or the output of the list command; - reads the standard input. Fields left out keep their values. An object with a version is only applied to that version."`
+	Wait bool          `help:"Wait until the change is in force on every instance, and print where it is and after how long."`
+	For  time.Duration `default:"30s" placeholder:"DURATION" help:"Longest time to wait with --wait. Default: ${default}."`
+}
+
+// diffFlags are the arguments of the diff commands.
+type diffFlags struct {
+	File string `arg:"" help:"JSON file as for apply; - reads the standard input."`
+}
+
+// nameFlags are the arguments of the get commands.
+type nameFlags struct {
+	Name string `arg:"" help:"Name to show."`
+}
--- /dev/null
+++ b/daisylug/console/resource_test.go
@@ -0,0 +1,171 @@
+package console
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+const twoTeams = `[{"name":"a","priority":5},{"name":"b","priority":6,"guarantees":[{"centre":"c1","shape":{"workers":1,"accelerators":8},"count":2}]}]`
+
+func newCatalogue() *catalogue {
+	return &catalogue{
+		config: 4,
+		teams:  map[string]document{"a": {"name": "a", "priority": 1, "weight": 3, "version": 7}},
+	}
+}
+
+func TestApply(t *testing.T) {
+	lost := func(w http.ResponseWriter) { http.Error(w, "bad gateway", http.StatusBadGateway) }
+	for _, tt := range []struct {
+		// guards names the failure that the case guards against.
+		guards string
+		file   string
+		fault  func(c *catalogue)
+		code   int
+		want   []string
+		// version is that of team a afterwards.
+		version int
+	}{
+		{"an omitted field being dropped", twoTeams, nil, ExitOK, []string{"a changed 8 5", "b created 1 6"}, 8},
+		{"a change that is already in force being sent", `{"name":"a","priority":1.0,"prepaid":0,"guarantees":[]}`, nil, ExitOK, []string{"a unchanged 7 -"}, 7},
+		{"a file from an old version overwriting a newer one", `{"name":"a","priority":5,"version":6}`, nil, ExitConflict, []string{"a failed - -", "version 7 is in force", "team diff"}, 7},
+		{"a concurrent change being overwritten", twoTeams,
+			func(c *catalogue) {
+				c.before = func() { c.set("a", document{"name": "a", "priority": 9, "version": 7}) }
+			},
+			ExitConflict, []string{"a failed - -", "b not tried", "version 8 is in force"}, 8},
+		{"an accepted change being reported as failed when the answer is lost", twoTeams,
+			func(c *catalogue) { c.after = lost }, ExitOK, []string{"a changed 8 -", "b created 1 6"}, 8},
+		{"a lost answer being taken for success when another change followed", twoTeams,
+			func(c *catalogue) {
+				c.after = func(w http.ResponseWriter) {
+					c.set("a", document{"name": "a", "priority": 9})
+					lost(w)
+				}
+			}, ExitUnknown, []string{"a failed - -", "b not tried"}, 9},
+		{"a lost request being reported as unknown when another change came first", twoTeams,
+			func(c *catalogue) {
+				c.after = func(w http.ResponseWriter) {
+					c.teams["a"] = document{"name": "a", "priority": 9, "version": 8}
+					lost(w)
+				}
+			}, ExitConflict, []string{"a failed - -"}, 8},
+		{"a typing error in the file reaching the server", `[{"name":"a"},{"name":"a"}]`, nil, ExitUsage, []string{"given twice"}, 7},
+	} {
+		t.Run(tt.guards, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCatalogue()
+				if tt.fault != nil {
+					tt.fault(c)
+				}
+				got := run(t, direct{c}, tt.file, "team", "apply", "-")
+				text := strings.Join(strings.Fields(got.out+got.err), " ")
+				for _, want := range tt.want {
+					if !strings.Contains(text, want) {
+						t.Errorf("%q is not in the output", want)
+					}
+				}
+				if got.code != tt.code || c.teams["a"]["version"] != tt.version {
+					t.Errorf("exit code %d, version %v, want %d, %d", got.code, c.teams["a"]["version"], tt.code, tt.version)
+				}
+				if tt.code == ExitOK && fmt.Sprint(c.teams["a"]["weight"]) != "3" {
+					t.Errorf("weight is %v, want 3", c.teams["a"]["weight"])
+				}
+				if t.Failed() {
+					t.Log(got.out, got.err)
+				}
+			})
+		})
+	}
+}
+
+// TestDiff guards against a wrong field path, and against diff changing
+// anything.
+func TestDiff(t *testing.T) {
+	c := newCatalogue()
+	file := filepath.Join(t.TempDir(), "teams.json")
+	if err := os.WriteFile(file, []byte(`{"teams":`+twoTeams+`}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, format := range []string{OutputTable, OutputJSON} {
+		got := run(t, direct{c}, "", "team", "diff", file, "-o", format)
+		if got.code != ExitDiffers || c.config != 4 {
+			t.Errorf("exit code %d, config %d\n%s", got.code, c.config, got.err)
+		}
+		golden(t, "testdata/diff."+format, got.out)
+	}
+	if got := run(t, direct{c}, `{"name":"a","weight":3}`, "team", "diff", "-"); got.code != ExitOK || got.out != "" {
+		t.Errorf("exit code %d for no difference\n%s", got.code, got.out)
+	}
+}
+
+// rolloutServer answers the status of three instances of which i2 adopts a
+// change 700 ms later and i3 after delay; i3 cannot be asked while it is away.
+func rolloutServer(start time.Time, delay time.Duration, away bool, dead time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		age := time.Since(start)
+		version := func(after time.Duration) int {
+			if age >= after {
+				return 9
+			}
+			return 8
+		}
+		state := "live"
+		if dead > 0 && age >= dead {
+			state = stateDead
+		}
+		known := fmt.Sprintf(`"instances":[{"name":"i1","centre":"c1","state":"live","config":9},{"name":"i3","centre":"c2","state":%q,"config":9}]`, state)
+		entries := []string{
+			fmt.Sprintf(`{"instance":"i1","centre":"c1","config":{"version":9},%s}`, known),
+			fmt.Sprintf(`{"instance":"i2","centre":"c1","config":{"version":%d},%s}`, version(700*time.Millisecond), known),
+		}
+		if !away {
+			entries = append(entries, fmt.Sprintf(`{"instance":"i3","centre":"c2","config":{"version":%d},%s}`, version(delay), known))
+		}
+		reply(w, http.StatusOK, `{"instances":[`+strings.Join(entries, ",")+`]}`)
+	})
+}
+
+// TestForce guards against apply --wait returning before a change is in force
+// on an instance that serves, and against waiting for one that is gone.
+func TestForce(t *testing.T) {
+	await := func(config int64, delay time.Duration, away bool, dead time.Duration) (f *force, err error) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			s := &session{ctx: t.Context(), client: newClient([]server{{"http://i1"}}, time.Second, direct{rolloutServer(start, delay, away, dead)})}
+			f, err = s.awaitForce(config, start, 5*time.Second)
+		})
+		return f, err
+	}
+	convey.Convey("Given a change that is accepted as config 9", t, func() {
+		convey.Convey("it is in force when the last instance has it", func() {
+			f, err := await(9, 2*time.Second, false, 0)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(f.Seconds, convey.ShouldEqual, 2)
+			convey.So(f.Instances[1].After, convey.ShouldEqual, 0.7)
+		})
+		convey.Convey("an unknown config version is taken from the instances", func() {
+			f, err := await(0, 2*time.Second, false, 0)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(f.Seconds, convey.ShouldEqual, 2)
+		})
+		convey.Convey("an instance that cannot be asked is waited for", func() {
+			f, err := await(9, 0, true, 0)
+			convey.So(exitCode(err), convey.ShouldEqual, ExitPending)
+			convey.So(err.Error(), convey.ShouldContainSubstring, "on i3")
+			convey.So(f.Seconds, convey.ShouldEqual, 0)
+		})
+		convey.Convey("until the others call it dead", func() {
+			_, err := await(9, 0, true, 3*time.Second)
+			convey.So(err, convey.ShouldBeNil)
+		})
+	})
+}
