--- /dev/null
+++ b/daisylug/console/printer.go
@@ -0,0 +1,172 @@
+package console
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// columnGap is the number of spaces between columns.
+const columnGap = 2
+
+// printer writes answers in the chosen format.
+type printer struct {
+	out    io.Writer
+	format string
+}
+
+func newPrinter(out io.Writer, format string) *printer {
+	return &printer{out: out, format: format}
+}
+
+// print writes value as JSON, or the table that draw fills.
+func (p *printer) print(value any, draw func(*table)) error {
+	if p.format == OutputJSON {
+		return writeJSON(p.out, value)
+	}
+	t := newTable(p.out)
+	draw(t)
+	return t.flush()
+}
+
+func writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(value)
+}
+
+// table aligns columns of text.
+type table struct {
+	writer *tabwriter.Writer
+	err    error
+}
+
+func newTable(out io.Writer) *table {
+	return &table{writer: tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)}
+}
+
+// row adds one line. Control characters are escaped, so that a text from a
+// server can neither break the table nor control the terminal.
+func (t *table) row(cells ...string) {
+	for i, cell := range cells {
+		cells[i] = printable(cell)
+	}
+	line := strings.TrimRight(strings.Join(cells, "\t"), "\t")
+	if _, err := fmt.Fprintln(t.writer, line); err != nil && t.err == nil {
+		t.err = err
+	}
+}
+
+// gap starts a new group of columns after an empty line.
+func (t *table) gap() { t.row("") }
+
+// fields adds one line for each field of d, the named ones first.
+func (t *table) fields(d document, names ...string) {
+	for _, name := range columns([]document{d}, names) {
+		if value, ok := d[name]; ok {
+			t.row(name, cell(value))
+		}
+	}
+}
+
+// grid adds a heading and one line for each of rows. Fields that are not in
+// names come last, so that those of a newer daemon are shown as well.
+func (t *table) grid(rows []document, names ...string) {
+	names = columns(rows, names)
+	heading := make([]string, len(names))
+	for i, name := range names {
+		heading[i] = strings.ToUpper(name)
+	}
+	t.row(heading...)
+	for _, d := range rows {
+		line := make([]string, len(names))
+		for i, name := range names {
+			line[i] = cell(d[name])
+		}
+		t.row(line...)
+	}
+}
+
+func columns(rows []document, names []string) []string {
+	all := slices.Clone(names)
+	for _, d := range rows {
+		for _, name := range slices.Sorted(maps.Keys(d)) {
+			if !slices.Contains(all, name) {
+				all = append(all, name)
+			}
+		}
+	}
+	return all
+}
+
+// cell returns the text of one JSON value.
+func cell(value any) string {
+	switch v := value.(type) {
+	case nil:
+		return "-"
+	case string:
+		return cmp.Or(v, "-")
+	case map[string]any:
+		return cellOfObject(v)
+	case []any:
+		parts := make([]string, len(v))
+		for i, one := range v {
+			parts[i] = cell(one)
+		}
+		return strings.Join(parts, ",")
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func cellOfObject(v map[string]any) string {
+	if v["workers"] != nil && v["accelerators"] != nil && len(v) == 2 {
+		return cell(v["workers"]) + "x" + cell(v["accelerators"])
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(v)) {
+		parts = append(parts, name+"="+cell(v[name]))
+	}
+	return strings.Join(parts, " ")
+}
+
+func (t *table) flush() error {
+	return errors.Join(t.err, t.writer.Flush())
+}
+
+// printFailure writes err as one line of text or as a JSON error.
+func printFailure(w io.Writer, format string, err error) {
+	if format != OutputJSON {
+		_, _ = fmt.Fprintln(w, "daisylug: "+printable(err.Error()))
+		return
+	}
+	_ = writeJSON(w, map[string]any{"error": failureBody(err)})
+}
+
+func failureBody(err error) *ServerError {
+	var body *ServerError
+	if errors.As(err, &body) {
+		return body
+	}
+	var f failure
+	if errors.As(err, &f) {
+		return &ServerError{Type: f.kind(), Message: err.Error(), Ran: f.ran()}
+	}
+	return &ServerError{Type: typeInternal, Message: err.Error(), Ran: ranUnknown}
+}
+
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f || (r >= 0x80 && r < 0xa0) {
+			return ' '
+		}
+		return r
+	}, s)
+}
