--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,10 @@
 	cd daisylugd/settings && $(TOOL)/tools/schema/go.mod buf generate --path settings.proto
 	gofmt -w daisylugd/dispatch/settings_gen.go
 
+# Runs both example sites on loopback addresses.
+demo: build
+	examples/demo.sh kivilattia turku salo lohja
+	PORT=7500 examples/demo.sh frost kagoshima kanoya nichinan
+
 clean:
 	rm -rf $(BIN)
