dispatch: settle running gangs whose job is not known

A cancelled job whose rack owner missed the call to stop would run to its end, and a gang adopted by a new planner could stay unknown.

--- a/daisylugd/dispatch/action.go
+++ b/daisylugd/dispatch/action.go
@@ -233,6 +233,55 @@
 	return false
 }
 
+// settleStrays looks up running gangs whose job is not known here: they were
+// cancelled without their rack owner learning of it, or their offer was lost.
+// The caller holds the lock.
+func (s *scheduler) settleStrays(ctx context.Context, running []planner.Running, now time.Time) {
+	present := make(map[string]bool, len(running))
+	for _, r := range running {
+		present[r.Job] = true
+		if s.records[r.Job] != nil {
+			delete(s.strays, r.Job)
+			continue
+		}
+		due, seen := s.strays[r.Job]
+		if !seen {
+			s.strays[r.Job] = now.Add(settleAfter)
+			continue
+		}
+		if now.After(due) {
+			s.strays[r.Job] = now.Add(orphanAfter)
+			go s.settleStray(ctx, r.Job, r.Rack)
+		}
+	}
+	for id := range s.strays {
+		if !present[id] {
+			delete(s.strays, id)
+		}
+	}
+}
+
+// settleStray adopts the job of a running gang, or stops the gang if the job
+// has ended.
+func (s *scheduler) settleStray(ctx context.Context, id, rack string) {
+	ctx, cancel := context.WithTimeout(ctx, haltWait)
+	defer cancel()
+	job, err := s.ledger.Get(ctx, id)
+	if err != nil {
+		s.log.V(1).Info(EventRetry, "what", "record of a running gang", "job", id, "err", err)
+		return
+	}
+	if !ended(job.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.adopt(job)
+		return
+	}
+	if err := s.caller.halt(ctx, &schema.Halt{Rack: rack, Jobs: []string{id}}); err != nil {
+		s.log.V(1).Info(EventRetry, "what", "stop of an ended job", "job", id, "err", err)
+	}
+}
+
 // orphan ends the attempt of a claimed job that is on no worker.
 func (s *scheduler) orphan(ctx context.Context, job *schema.Job) {
 	s.log.Info(EventOrphan, "job", job.Id, "team", job.Team, "rack", job.Rack, "attempt", job.Attempt)
--- /dev/null
+++ b/daisylugd/dispatch/decoder_test.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against bodies that are accepted with a part ignored, and against
+// refusals that do not name the field.
+func TestDecode(t *testing.T) {
+	Convey("Wrong bodies are refused by field", t, func() {
+		for _, c := range []struct {
+			name, body, kind, field string
+		}{
+			{"good", `{"team":"a","shape":{"workers":1,"accelerators":2}}`, "", ""},
+			{"unknown field", `{"team":"a","priority":3}`, FailureField, "priority"},
+			{"unknown nested field", `{"shape":{"gpus":1}}`, FailureField, "gpus"},
+			{"wrong type", `{"team":3}`, FailureField, "team"},
+			{"wrong nested type", `{"shape":{"workers":"two"}}`, FailureField, "shape.workers"},
+			{"number out of range", `{"shape":{"workers":99999999999}}`, FailureField, "shape.workers"},
+			{"fraction of a worker", `{"shape":{"workers":1.5}}`, FailureField, "shape.workers"},
+			{"not JSON", `team=a`, FailureField, "body"},
+			{"two values", `{} {}`, FailureField, "body"},
+			{"invalid UTF-8", "{\"team\":\"\xff\"}", FailureField, "body"},
+			{"too large", `{"team":"` + strings.Repeat("a", 2000) + `"}`, FailureSize, "body"},
+		} {
+			Convey(c.name, func() {
+				r := httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(c.body))
+				var body submitRequest
+				err := decoder{limit: 1024}.decode(r, &body)
+				if c.kind == "" {
+					So(err, ShouldBeNil)
+					return
+				}
+				var f *Failure
+				So(errors.As(err, &f), ShouldBeTrue)
+				So(f.Type, ShouldEqual, c.kind)
+				So(f.Field, ShouldEqual, c.field)
+				So(f.Ran, ShouldEqual, RanNo)
+			})
+		}
+	})
+}
+
+// Guards against an error of unknown origin that is reported as not run.
+func TestEncodeFailure(t *testing.T) {
+	Convey("An error without a type is reported as unknown", t, func() {
+		w := httptest.NewRecorder()
+		encodeFailure(w, nil, errors.ErrUnsupported)
+		So(w.Code, ShouldEqual, http.StatusInternalServerError)
+		So(w.Body.String(), ShouldContainSubstring, `"ran":"unknown"`)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(`{"team":"a"}`)
+	f.Add("{\"payload\":{\"a\":[1,2,{}]}}")
+	f.Add("\xff")
+	f.Fuzz(func(t *testing.T, body string) {
+		r := httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(body))
+		var v submitRequest
+		err := decoder{limit: 1 << 16}.decode(r, &v)
+		var failure *Failure
+		if err != nil && !errors.As(err, &failure) {
+			t.Fatalf("error without a type: %v", err)
+		}
+	})
+}
--- a/daisylugd/dispatch/scheduler.go
+++ b/daisylugd/dispatch/scheduler.go
@@ -66,6 +66,7 @@
 	places    map[string][]string
 	stopping  map[string]time.Time
 	missing   map[string]time.Time
+	strays    map[string]time.Time
 	holds     []planner.Hold
 	estimator *queue.Estimator
 	book      *quarantine.Book
@@ -122,6 +123,7 @@
 	s.starting = make(map[string]starting)
 	s.stopping = make(map[string]time.Time)
 	s.missing = make(map[string]time.Time)
+	s.strays = make(map[string]time.Time)
 	s.holds = nil
 }
 
@@ -157,6 +159,7 @@
 	s.mu.Lock()
 	s.reconcile(ctx, now)
 	in := s.input(now)
+	s.settleStrays(ctx, in.Running, now)
 	s.charge(ctx, in, now)
 	result := s.planner.Decide(in)
 	s.holds = result.Holds
