dispatch: read open jobs beside the decisions

A table that takes seconds for a call made every read fail at its 500 ms bound, so a planner that took the role over never learned of the pending jobs, and each failed read delayed a round. Reads now run in a loop of their own with a bound of 15 s and are dropped if the role has changed.

--- a/daisylugd/dispatch/daemon.go
+++ b/daisylugd/dispatch/daemon.go
@@ -173,6 +173,7 @@
 			newTask(d.racks.Run),
 			newTask(d.follow),
 			newTask(d.scheduler.run),
+			newTask(d.scheduler.scan),
 			newTask(d.collect),
 			newTask(d.pool.Run),
 			newTask(d.router.Run),
--- a/daisylugd/dispatch/scheduler.go
+++ b/daisylugd/dispatch/scheduler.go
@@ -24,11 +24,13 @@
 	// scanEvery is the interval between pages of the scan for jobs whose offer
 	// was lost.
 	scanEvery = 2 * time.Second
-	// scanPage and loadPage are the jobs read in one call: few during the
+	// scanRows and loadRows are the jobs read in one call: few during the
 	// continuous scan, so that it stays far below the table's 2,000 reads a
 	// second, and many when the role is taken over.
-	scanPage = 100
-	loadPage = 500
+	scanRows = 100
+	loadRows = 500
+	// scanWait bounds one read; a slow table takes seconds for a call.
+	scanWait = 15 * time.Second
 	// settleAfter is how long a started gang may be missing from its rack's
 	// published state.
 	settleAfter = 5 * time.Second
@@ -51,12 +53,15 @@
 	grace     time.Duration
 	log       klog.Logger
 	wakes     chan struct{}
-
-	mu       sync.Mutex
-	active   bool
-	loaded   bool
-	cursor   string
-	scanned  time.Time
+	loads     chan struct{}
+
+	mu     sync.Mutex
+	active bool
+	loaded bool
+	cursor string
+	// term counts the changes of the role, so that a read that began in an
+	// earlier term is dropped.
+	term     int
 	pending  *queue.Queue
 	unpaid   map[string]*schema.Job
 	records  map[string]*schema.Job
@@ -103,6 +108,7 @@
 		grace:     grace,
 		log:       log,
 		wakes:     make(chan struct{}, 1),
+		loads:     make(chan struct{}, 1),
 		estimator: queue.NewEstimator(),
 		book:      quarantine.New(),
 		speeds:    make(speeds),
@@ -128,9 +134,12 @@
 }
 
 // wake causes a round soon.
-func (s *scheduler) wake() {
+func (s *scheduler) wake() { signal(s.wakes) }
+
+// signal sends on a channel unless a value is pending.
+func signal(c chan<- struct{}) {
 	select {
-	case s.wakes <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -150,13 +159,13 @@
 	}
 }
 
-// round takes or gives up the role, reads what is due and decides.
+// round takes or gives up the role and decides.
 func (s *scheduler) round(ctx context.Context, now time.Time) {
 	if !s.holdsRole() {
 		return
 	}
-	s.scan(ctx, now)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.reconcile(ctx, now)
 	in := s.input(now)
 	s.settleStrays(ctx, in.Running, now)
@@ -164,7 +173,6 @@
 	result := s.planner.Decide(in)
 	s.holds = result.Holds
 	s.carryOut(ctx, result, now)
-	s.mu.Unlock()
 }
 
 // planKey is the key whose owner is the planner of a data centre.
@@ -179,8 +187,10 @@
 	defer s.mu.Unlock()
 	if mine != s.active {
 		s.active = mine
+		s.term++
 		s.reset()
 		if mine {
+			signal(s.loads)
 			s.log.Info(EventPlanner, "centre", s.self.DataCentre)
 		} else {
 			s.log.Info(EventRetire, "centre", s.self.DataCentre)
@@ -189,49 +199,54 @@
 	return mine
 }
 
-// scan reads pages of the open jobs: all of them after taking the role, then
-// one page every scanEvery.
-func (s *scheduler) scan(ctx context.Context, now time.Time) {
-	s.mu.Lock()
-	loaded, cursor := s.loaded, s.cursor
-	due := now.Sub(s.scanned) >= scanEvery
-	if due {
-		s.scanned = now
-	}
-	s.mu.Unlock()
-	if !due {
-		return
-	}
+// scan reads the open jobs until ctx ends: all of them after taking the role,
+// then one page every scanEvery. It runs beside the rounds, so that a slow table
+// does not delay decisions that need no table.
+func (s *scheduler) scan(ctx context.Context) error {
+	ticker := time.NewTicker(scanEvery)
+	defer ticker.Stop()
 	for {
-		size := scanPage
-		if !loaded {
-			size = loadPage
-		}
-		jobs, next, err := s.readPage(ctx, cursor, size)
-		if err != nil {
-			s.log.V(1).Info(EventRetry, "what", "scan of open jobs", "err", err)
-			return
-		}
-		s.mu.Lock()
-		for _, job := range jobs {
-			s.adopt(job)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-s.loads:
 		}
-		s.cursor = next
-		s.loaded = s.loaded || next == ""
-		s.mu.Unlock()
-		if loaded || next == "" {
-			return
+		for s.scanPage(ctx) {
+			s.wake()
 		}
-		cursor = next
+		s.wake()
 	}
 }
 
-// scanWait bounds one read of open jobs, so that a slow table does not delay
-// decisions that need no table.
-const scanWait = 500 * time.Millisecond
-
-func (s *scheduler) readPage(ctx context.Context, after string, size int) ([]*schema.Job, string, error) {
+// scanPage reads one page and reports whether the next is due at once.
+func (s *scheduler) scanPage(ctx context.Context) bool {
+	s.mu.Lock()
+	active, loaded, cursor, term := s.active, s.loaded, s.cursor, s.term
+	s.mu.Unlock()
+	if !active {
+		return false
+	}
+	size := scanRows
+	if !loaded {
+		size = loadRows
+	}
 	ctx, cancel := context.WithTimeout(ctx, scanWait)
 	defer cancel()
-	return s.ledger.Open(ctx, s.self.DataCentre, after, size)
+	jobs, next, err := s.ledger.Open(ctx, s.self.DataCentre, cursor, size)
+	if err != nil {
+		s.log.V(1).Info(EventRetry, "what", "scan of open jobs", "err", err)
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.term != term {
+		return false
+	}
+	for _, job := range jobs {
+		s.adopt(job)
+	}
+	s.cursor = next
+	s.loaded = s.loaded || next == ""
+	return !s.loaded
 }
