--- a/scheduler/platform/memory/directory.go
+++ b/scheduler/platform/memory/directory.go
@@ -118,6 +118,18 @@
 	})
 }
 
+func (b *book) setAddress(name, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.pages {
+		for i := range p.listing.Workers {
+			if p.listing.Workers[i].Name == name {
+				p.listing.Workers[i].Address = address
+			}
+		}
+	}
+}
+
 func put[T any](all []T, item T, same func(T) bool) []T {
 	if at := slices.IndexFunc(all, same); at >= 0 {
 		all[at] = item
--- a/scheduler/platform/memory/fault.go
+++ b/scheduler/platform/memory/fault.go
@@ -14,18 +14,18 @@
 // counts both apply; a count of n affects the next n calls that change state.
 type Faults struct {
 	// Outage makes every call fail at once without effect.
-	Outage bool `json:"outage,omitempty"`
+	Outage bool
 	// Silent makes every call wait until its context ends, without effect.
-	Silent bool `json:"silent,omitempty"`
+	Silent bool
 	// Delay is added before each call takes effect. A call that changes state
 	// and is abandoned during the delay still takes effect afterwards.
-	Delay time.Duration `json:"delay,omitempty"`
+	Delay time.Duration
 	// LostBefore is the probability that a call is lost without effect.
-	LostBefore float64 `json:"before,omitempty"`
+	LostBefore float64
 	// LostAfter is the probability that an answer is lost after the effect.
-	LostAfter      float64 `json:"after,omitempty"`
-	LoseNextBefore int     `json:"nextbefore,omitempty"`
-	LoseNextAfter  int     `json:"nextafter,omitempty"`
+	LostAfter      float64
+	LoseNextBefore int
+	LoseNextAfter  int
 }
 
 var errInjected = errors.New("injected fault")
--- a/scheduler/platform/memory/fleet.go
+++ b/scheduler/platform/memory/fleet.go
@@ -1,6 +1,8 @@
 package memory
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +43,9 @@
 	return w, nil
 }
 
+// Names returns the names of the workers in order.
+func (f *Fleet) Names() []string { return slices.Sorted(maps.Keys(f.workers)) }
+
 // Get returns the worker's view with its controls. It panics if there is no
 // such worker.
 func (f *Fleet) Get(name string) Worker {
@@ -51,14 +56,14 @@
 	return w
 }
 
-// SetAddress changes the address under which the directory lists the worker.
+// SetAddress sets the address under which the directory lists the worker, and
+// has always listed it.
 func (f *Fleet) SetAddress(name, address string) {
 	m := f.Get(name).m
 	m.mu.Lock()
 	m.info.Address = address
-	info := m.info
 	m.mu.Unlock()
-	f.book.putWorker(info)
+	f.book.setAddress(name, address)
 }
 
 // SetLeaving makes the worker refuse new work, or take it again. The directory
--- a/scheduler/platform/memory/table.go
+++ b/scheduler/platform/memory/table.go
@@ -43,20 +43,26 @@
 	return change(ctx, t.Injector, func() error { return t.store.commit(tx) })
 }
 
-// Counts returns the numbers of rows read and transactions committed so far.
-func (t *Table) Counts() (reads, commits int) {
+// Counts are the numbers of operations on a table so far.
+type Counts struct {
+	Read    int `json:"read"`    // rows read
+	Written int `json:"written"` // rows written
+	Commits int `json:"commits"` // transactions that took effect
+}
+
+// Counts returns the operations so far.
+func (t *Table) Counts() Counts {
 	t.store.mu.Lock()
 	defer t.store.mu.Unlock()
-	return t.store.reads, t.store.commits
+	return t.store.counts
 }
 
 // rows is the content of a table.
 type rows struct {
-	mu      sync.Mutex
-	byKey   map[string]platform.Row
-	keys    []string // sorted
-	reads   int
-	commits int
+	mu     sync.Mutex
+	byKey  map[string]platform.Row
+	keys   []string // sorted
+	counts Counts
 }
 
 func (r *rows) read(keys []string) []platform.Row {
@@ -68,7 +74,7 @@
 			found = append(found, copyRow(row))
 		}
 	}
-	r.reads += len(found)
+	r.counts.Read += len(found)
 	return found
 }
 
@@ -85,7 +91,7 @@
 			found = append(found, copyRow(r.byKey[key]))
 		}
 	}
-	r.reads += len(found)
+	r.counts.Read += len(found)
 	return found
 }
 
@@ -98,7 +104,8 @@
 	for _, w := range tx.Writes {
 		r.apply(tx.Operation, w)
 	}
-	r.commits++
+	r.counts.Commits++
+	r.counts.Written += len(tx.Writes)
 	return nil
 }
 
--- /dev/null
+++ b/scheduler/platform/remote/wire_test.go
@@ -0,0 +1,161 @@
+package remote
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/smartystreets/goconvey/convey"
+
+	"daisylug.example/scheduler/platform"
+)
+
+const deadline = 200 * time.Millisecond
+
+// broken serves answers that are not those of a sound server.
+var broken = []struct {
+	name  string
+	serve http.HandlerFunc
+}{
+	{"closes the connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+	{"is silent", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }},
+	{"stops in the middle", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "3")
+		w.Header().Set(sumHeader, sum([]byte("{}")))
+		_, _ = io.WriteString(w, "{}")
+	}},
+	{"leaves the end out", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(sumHeader, sum([]byte("{}\n")))
+		_, _ = io.WriteString(w, "{}")
+	}},
+	{"gives no checksum", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }},
+	{"answers another request", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(idHeader, "other")
+		writeBody(w, http.StatusOK, []byte("{}"))
+	}},
+	{"answers no JSON", func(w http.ResponseWriter, _ *http.Request) { writeBody(w, http.StatusOK, []byte("{")) }},
+	{"reports no known error", func(w http.ResponseWriter, _ *http.Request) {
+		writeBody(w, http.StatusBadGateway, []byte(`{"type":"new"}`))
+	}},
+	{"redirects", func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	}},
+}
+
+// Guards against a truncated or foreign answer that is delivered, and against
+// an outcome that is reported as "not carried out" after the request was
+// received.
+func TestBrokenServer(t *testing.T) {
+	for _, c := range broken {
+		convey.Convey("A server that "+c.name, t, func() {
+			var calls atomic.Int32
+			server := httptest.NewServer(repeatID(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				_, _ = io.Copy(io.Discard, r.Body)
+				c.serve(w, r)
+			})))
+			defer server.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			var unknown *platform.UnknownError
+			err := NewTable(server.URL, Options{}).Commit(ctx, platform.Transaction{})
+			convey.So(errors.As(err, &unknown), convey.ShouldBeTrue)
+			convey.So(calls.Load(), convey.ShouldEqual, 1)
+			var unavailable *platform.UnavailableError
+			_, err = NewTable(server.URL, Options{}).Read(ctx)
+			convey.So(errors.As(err, &unavailable), convey.ShouldBeTrue)
+		})
+	}
+}
+
+// Shows that a truncated object is delivered by a client without the checksum
+// and not by the adapter.
+func TestChecksumDetectsTruncation(t *testing.T) {
+	convey.Convey("An object without its end", t, func() {
+		server := httptest.NewServer(repeatID(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(sumHeader, sum([]byte("whole")))
+			_, _ = io.WriteString(w, "who")
+		})))
+		defer server.Close()
+		response, err := http.Get(server.URL)
+		convey.So(err, convey.ShouldBeNil)
+		body, err := io.ReadAll(response.Body)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(body), convey.ShouldEqual, "who")
+		_, err = NewObjects(server.URL, Options{}).Get(t.Context(), "n")
+		var wrong *SumError
+		convey.So(errors.As(err, &wrong), convey.ShouldBeTrue)
+	})
+}
+
+// Guards against "unknown" for a call that was not sent, which would keep
+// non-idempotent work from being tried again.
+func TestNothingSent(t *testing.T) {
+	convey.Convey("A refused connection", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(l.Close(), convey.ShouldBeNil)
+		err = NewTable("http://"+l.Addr().String(), Options{}).Commit(t.Context(), platform.Transaction{})
+		var unavailable *platform.UnavailableError
+		convey.So(errors.As(err, &unavailable), convey.ShouldBeTrue)
+	})
+	convey.Convey("A call that waits for a connection", t, func() {
+		received := make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			close(received) // a second request would panic
+			<-r.Context().Done()
+		}))
+		defer server.Close()
+		table := NewTable(server.URL, Options{Connections: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		var first error
+		var group sync.WaitGroup
+		group.Go(func() { first = table.Commit(ctx, platform.Transaction{}) })
+		<-received
+		waiting, stop := context.WithTimeout(t.Context(), deadline)
+		defer stop()
+		var unavailable *platform.UnavailableError
+		convey.So(errors.As(table.Commit(waiting, platform.Transaction{}), &unavailable), convey.ShouldBeTrue)
+		cancel()
+		group.Wait()
+		var unknown *platform.UnknownError
+		convey.So(errors.As(first, &unknown), convey.ShouldBeTrue)
+	})
+}
+
+// Guards against an error that changes its type or fields on the wire.
+func TestErrorsKeepTheirType(t *testing.T) {
+	outage := &platform.UnavailableError{Service: "table"}
+	for _, c := range []struct{ have, want error }{
+		{&platform.ConflictError{Keys: []string{"a", "b"}}, &platform.ConflictError{Keys: []string{"a", "b"}}},
+		{&platform.NotFoundError{Kind: "k", Name: "n"}, &platform.NotFoundError{Kind: "k", Name: "n"}},
+		{&platform.BusyError{Worker: "w", Load: platform.Load{Busy: 8, Slots: 8}}, &platform.BusyError{Worker: "w", Load: platform.Load{Busy: 8, Slots: 8}}},
+		{&platform.LeavingError{Worker: "w"}, &platform.LeavingError{Worker: "w"}},
+		{&platform.DeniedError{Worker: "w", Generation: platform.Generation{Number: 1 << 63, Holder: "h"}}, &platform.DeniedError{Worker: "w", Generation: platform.Generation{Number: 1 << 63, Holder: "h"}}},
+		{fmt.Errorf("wrapped: %w", &platform.LeavingError{Worker: "w"}), &platform.LeavingError{Worker: "w"}},
+		{outage, outage},
+		{&platform.UnknownError{Service: "table", Cause: outage}, &platform.UnknownError{Service: "table"}},
+		{errors.New("untyped"), &platform.UnknownError{Service: "table"}},
+	} {
+		mux := http.NewServeMux()
+		accept(mux, "/table/commit", func(context.Context, platform.Transaction) error { return c.have })
+		server := httptest.NewServer(repeatID(mux))
+		err := NewTable(server.URL, Options{}).Commit(t.Context(), platform.Transaction{})
+		server.Close()
+		ignoreCause := cmp.FilterPath(func(p cmp.Path) bool { return strings.HasSuffix(p.String(), "Cause") }, cmp.Ignore())
+		if diff := cmp.Diff(c.want, err, ignoreCause); diff != "" {
+			t.Errorf("%v: %s", c.have, diff)
+		}
+	}
+}
