Test leases, speeds, usage and late writes in virtual time

The fakes decide when leases lapse and work ends, and the other packages rely on them to the nanosecond. The tests run under testing/synctest; a rapid model checks transactions, and 650 workers with a running task each add no goroutine. Errors on the wire now are the platform's own types, which shortens the adapters. A reservation of a negative number of accelerators is refused.

--- a/scheduler/platform/memory/fault.go
+++ b/scheduler/platform/memory/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -28,7 +27,17 @@
 	LoseNextAfter  int
 }
 
-var errInjected = errors.New("injected fault")
+// causeError is the cause of an error of the platform.
+type causeError string
+
+func (e causeError) Error() string { return string(e) }
+
+const (
+	errInjected    causeError = "injected fault"
+	errDown        causeError = "worker is down"
+	errConnections causeError = "connection limit reached"
+	errDuplicate   causeError = "attempt was received before"
+)
 
 // Injector holds the faults of one service in one view.
 type Injector struct {
--- a/scheduler/platform/memory/fleet.go
+++ b/scheduler/platform/memory/fleet.go
@@ -21,7 +21,7 @@
 	saved := &sync.Map{}
 	for _, w := range c.Workers {
 		m := newMachine(c, w, saved, f.journal)
-		f.workers[w.Info.Name] = Worker{Injector: NewInjector(m.service(), c.Seed), m: m}
+		f.workers[w.Info.Name] = Worker{m: m}
 	}
 	return f
 }
@@ -29,7 +29,7 @@
 func (f *Fleet) view(seed uint64) *Fleet {
 	v := &Fleet{workers: map[string]Worker{}, book: f.book, journal: f.journal}
 	for name, w := range f.workers {
-		v.workers[name] = Worker{Injector: NewInjector(w.service, seed), m: w.m}
+		v.workers[name] = Worker{Injector: NewInjector(w.m.service(), seed), m: w.m}
 	}
 	return v
 }
--- a/scheduler/platform/memory/machine.go
+++ b/scheduler/platform/memory/machine.go
@@ -171,7 +171,7 @@
 		return nil
 	case m.leaving:
 		return &platform.LeavingError{Worker: m.info.Name}
-	case r.Accelerators > m.free():
+	case r.Accelerators < 0 || r.Accelerators > m.free():
 		return &platform.BusyError{Worker: m.info.Name, Load: m.load()}
 	}
 	r.Payload = slices.Clone(r.Payload)
--- a/scheduler/platform/memory/memory.go
+++ b/scheduler/platform/memory/memory.go
@@ -62,13 +62,14 @@
 	setDefault(&c.UsageEvery, DefaultUsageEvery)
 	setDefault(&c.Retention, DefaultRetention)
 	book := newBook(c)
-	return &Platform{
+	first := &Platform{
 		Table:     NewTable(c.Seed),
 		Objects:   NewObjects(c.Seed),
-		Directory: &Directory{Injector: NewInjector("directory", c.Seed), book: book},
+		Directory: &Directory{book: book},
 		Fleet:     newFleet(c, book),
 		seed:      c.Seed,
 	}
+	return first.View()
 }
 
 func setDefault(d *time.Duration, value time.Duration) {
--- a/scheduler/platform/memory/memory_test.go
+++ b/scheduler/platform/memory/memory_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"daisylug.example/scheduler/platform"
 )
@@ -14,23 +17,41 @@
 var (
 	low  = platform.Generation{Number: 1, Holder: "a"}
 	high = platform.Generation{Number: 2, Holder: "b"}
+	ref  = platform.TaskRef{Job: "job"}
 )
 
-func small() *Platform {
-	l := Layout{DataCentres: []string{"x"}, Workers: 2, Accelerators: 8, Slots: 2, Connections: 60, Spread: 1}
+const hour = 3600
+
+func small(workers int) *Platform {
+	l := Layout{DataCentres: []string{"x"}, Workers: workers, Accelerators: 8, Slots: 2}
 	return New(Config{Seed: 1, Workers: l.Build(), UsageLag: 5 * time.Second})
 }
 
-func reservation(g platform.Generation, job string, p Payload) platform.Reservation {
+// virtual runs a scenario on the first of two workers in virtual time.
+func virtual(t *testing.T, name string, scenario func(p *Platform, w Worker, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey(name, t, func() {
+			p := small(2)
+			scenario(p, p.Fleet.Get("x-w000"), t.Context())
+		})
+	})
+}
+
+func reservation(g platform.Generation, seconds float64) platform.Reservation {
 	return platform.Reservation{
 		Generation:   g,
-		Task:         platform.TaskRef{Job: job},
+		Task:         ref,
 		Accelerators: 4,
 		Deadline:     time.Now().Add(2 * time.Second),
-		Payload:      p.Encode(),
+		Payload:      Payload{Seconds: seconds}.Encode(),
 	}
 }
 
+func run1(ctx context.Context, w Worker, g platform.Generation, seconds float64) {
+	_ = w.Reserve(ctx, reservation(g, seconds))
+	_ = w.Commit(ctx, g, ref)
+}
+
 // Guards against a holder that was superseded while it was paused and then
 // starts a task that its successor starts too.
 func TestGenerationPreventsDoubleStart(t *testing.T) {
@@ -39,22 +60,205 @@
 		off     bool
 		doubled int
 	}{{"checked", false, 0}, {"unchecked", true, 1}} {
-		synctest.Test(t, func(t *testing.T) {
-			Convey("With generations "+c.name, t, func() {
-				p, ctx := small(), context.Background()
-				for i, g := range []platform.Generation{high, low} {
-					w := p.Fleet.Get("x-w00" + string(rune('0'+i)))
-					if c.off {
-						w.FenceOff()
-					}
-					_, err := w.Claim(ctx, platform.Lease{Generation: high})
-					So(err, ShouldBeNil)
-					r := reservation(g, "job", Payload{Seconds: 1})
-					_ = w.Reserve(ctx, r)
-					_ = w.Commit(ctx, g, r.Task)
+		virtual(t, "With generations "+c.name, func(p *Platform, _ Worker, ctx context.Context) {
+			for name, g := range map[string]platform.Generation{"x-w000": high, "x-w001": low} {
+				w := p.Fleet.Get(name)
+				if c.off {
+					w.FenceOff()
 				}
-				So(Doubled(p.Fleet.Starts(), true), ShouldHaveLength, c.doubled)
-			})
+				_, err := w.Claim(ctx, platform.Lease{Generation: high})
+				So(err, ShouldBeNil)
+				run1(ctx, w, g, 1)
+			}
+			So(Doubled(p.Fleet.Starts(), true), ShouldHaveLength, c.doubled)
 		})
 	}
 }
+
+// Guards against accelerators that a lost holder keeps for good, and against a
+// task that runs on without an owner.
+func TestLeases(t *testing.T) {
+	virtual(t, "A reservation lapses at its extended deadline", func(_ *Platform, w Worker, ctx context.Context) {
+		So(w.Reserve(ctx, reservation(high, 1)), ShouldBeNil)
+		time.Sleep(time.Second)
+		So(w.Reserve(ctx, reservation(high, 1)), ShouldBeNil)
+		time.Sleep(2*time.Second - time.Nanosecond)
+		So(w.Tasks(), ShouldHaveLength, 1)
+		time.Sleep(time.Nanosecond)
+		So(w.Tasks(), ShouldBeEmpty)
+	})
+	virtual(t, "A task stops 120 s after the last claim", func(_ *Platform, w Worker, ctx context.Context) {
+		run1(ctx, w, high, hour)
+		time.Sleep(100 * time.Second)
+		_, err := w.Claim(ctx, platform.Lease{Generation: high})
+		So(err, ShouldBeNil)
+		renewed := time.Now()
+		time.Sleep(DefaultTaskLease - time.Nanosecond)
+		So(w.Tasks()[0].State, ShouldEqual, platform.TaskRunning)
+		time.Sleep(hour * time.Second)
+		So(w.Tasks()[0].State, ShouldEqual, platform.TaskStopped)
+		So(w.Tasks()[0].Ended.Sub(renewed), ShouldEqual, DefaultTaskLease)
+	})
+}
+
+// Guards against run times that depend on when the worker is looked at.
+func TestSpeed(t *testing.T) {
+	virtual(t, "A task of 10 s at speeds 1, 0 and 2", func(_ *Platform, w Worker, ctx context.Context) {
+		begin := time.Now()
+		run1(ctx, w, high, 10)
+		time.Sleep(4 * time.Second)
+		So(w.Throttle(ctx, high, ref, 0), ShouldBeNil)
+		time.Sleep(time.Second)
+		w.SetSpeed(2)
+		So(w.Throttle(ctx, high, ref, 1), ShouldBeNil)
+		time.Sleep(time.Minute)
+		So(w.Tasks()[0].State, ShouldEqual, platform.TaskDone)
+		So(w.Tasks()[0].Ended.Sub(begin).Seconds(), ShouldAlmostEqual, 4+1+3, 1e-6)
+	})
+	virtual(t, "A worker at fault fails early", func(_ *Platform, w Worker, ctx context.Context) {
+		w.SetFailureRate(1)
+		run1(ctx, w, high, 10)
+		time.Sleep(time.Second)
+		So(w.Tasks()[0].State, ShouldEqual, platform.TaskFailed)
+	})
+}
+
+// Guards against use that is reported twice, too early or not at all.
+func TestUsage(t *testing.T) {
+	virtual(t, "Usage of a task that is stopped after 25 s", func(_ *Platform, w Worker, ctx context.Context) {
+		run1(ctx, w, high, hour)
+		var seconds float64
+		var last uint64
+		for range 60 {
+			time.Sleep(time.Second)
+			if time.Since(w.startOf(ref)) == 25*time.Second {
+				So(w.Stop(ctx, high, ref), ShouldBeNil)
+			}
+			reports, err := w.Usage(ctx, last)
+			So(err, ShouldBeNil)
+			for _, r := range reports {
+				So(r.Sequence, ShouldEqual, last+1)
+				So(time.Since(r.Until), ShouldBeGreaterThanOrEqualTo, 5*time.Second)
+				last = r.Sequence
+				seconds += r.Seconds
+			}
+		}
+		So(last, ShouldEqual, 3)
+		So(seconds, ShouldEqual, 4*25)
+	})
+}
+
+func (w Worker) startOf(ref platform.TaskRef) time.Time {
+	w.m.mu.Lock()
+	defer w.m.mu.Unlock()
+	if t := w.m.find(ref); t != nil {
+		return t.Started
+	}
+	return time.Time{}
+}
+
+// Guards against a directory that shows the present, or that forgets it.
+func TestDirectoryLag(t *testing.T) {
+	virtual(t, "A worker that leaves and crashes", func(p *Platform, _ Worker, ctx context.Context) {
+		p.Directory.SetLag(2 * time.Second)
+		p.Fleet.SetLeaving("x-w000", true)
+		time.Sleep(time.Second)
+		p.Fleet.Crash("x-w000")
+		for _, want := range []platform.State{platform.StateLive, platform.StateLeaving, "gone"} {
+			l, err := p.Directory.List(ctx)
+			So(err, ShouldBeNil)
+			state := platform.State("gone")
+			if len(l.Workers) == 2 {
+				state = l.Workers[0].State
+			}
+			So(state, ShouldEqual, want)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// Guards against a call that is reported as failed, is sent again and then
+// takes effect twice.
+func TestAbandonedWriteTakesEffectLater(t *testing.T) {
+	virtual(t, "An abandoned transaction", func(p *Platform, _ Worker, ctx context.Context) {
+		tx := platform.Transaction{Operation: "o", Writes: []platform.Write{{Key: "k"}}}
+		p.Table.SetFaults(Faults{Delay: time.Minute})
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		So(errors.As(p.Table.Commit(short, tx), new(*platform.UnknownError)), ShouldBeTrue)
+		other := p.View().Table
+		rows, err := other.Read(ctx, "k")
+		So(err, ShouldBeNil)
+		So(rows, ShouldBeEmpty)
+		time.Sleep(time.Minute)
+		So(errors.As(other.Commit(ctx, tx), new(*platform.ConflictError)), ShouldBeTrue)
+	})
+}
+
+// Guards against idle workers that cost a goroutine each.
+func TestIdleWorkersCostNoGoroutine(t *testing.T) {
+	before := runtime.NumGoroutine()
+	p := small(650)
+	for _, name := range p.Fleet.Names() {
+		run1(t.Context(), p.Fleet.Get(name), high, hour)
+	}
+	if after := runtime.NumGoroutine(); after > before+10 {
+		t.Errorf("%d goroutines before, %d after", before, after)
+	}
+	if starts := len(p.Fleet.Starts()); starts != 650 {
+		t.Errorf("%d starts", starts)
+	}
+}
+
+// Guards against a transaction that takes effect in part and against a scan
+// that differs from the rows. The model is a map of versions.
+func TestTableFollowsModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, model := NewTable(1), map[string]int64{}
+		key := rapid.SampledFrom([]string{"a", "b", "c"})
+		for range rapid.IntRange(1, 20).Draw(t, "transactions") {
+			next, valid := map[string]int64{}, true
+			var tx platform.Transaction
+			for range rapid.IntRange(1, 3).Draw(t, "writes") {
+				w := platform.Write{Key: key.Draw(t, "key"), Delete: rapid.Bool().Draw(t, "delete")}
+				w.Version = max(model[w.Key]-rapid.SampledFrom([]int64{0, 0, 0, 1}).Draw(t, "age"), 0)
+				_, twice := next[w.Key]
+				valid = valid && !twice && w.Version == model[w.Key]
+				next[w.Key] = w.Version + 1
+				if w.Delete {
+					next[w.Key] = 0
+				}
+				tx.Writes = append(tx.Writes, w)
+			}
+			if err := table.Commit(t.Context(), tx); (err == nil) != valid {
+				t.Fatalf("commit returned %v, valid is %v", err, valid)
+			}
+			for k, version := range next {
+				if valid {
+					model[k] = version
+				}
+			}
+			checkModel(t, table, model)
+		}
+	})
+}
+
+func checkModel(t *rapid.T, table *Table, model map[string]int64) {
+	rows, err := table.Scan(t.Context(), "", "", 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range rows {
+		if model[row.Key] != row.Version {
+			t.Fatalf("%s has version %d, not %d", row.Key, row.Version, model[row.Key])
+		}
+	}
+	for _, version := range model {
+		if version > 0 {
+			rows = rows[1:]
+		}
+	}
+	if len(rows) > 0 {
+		t.Fatalf("%d rows too many", len(rows))
+	}
+}
--- a/scheduler/platform/memory/quick.go
+++ b/scheduler/platform/memory/quick.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,11 +21,6 @@
 	forget time.Time
 }
 
-var (
-	errDown      = errors.New("worker is down")
-	errDuplicate = errors.New("attempt was received before")
-)
-
 // advanceQuick ends the attempts that are due by now.
 func (m *machine) advanceQuick(now time.Time) {
 	for ref, a := range m.active {
--- a/scheduler/platform/memory/worker.go
+++ b/scheduler/platform/memory/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -17,8 +16,6 @@
 	m *machine
 }
 
-var errConnections = errors.New("connection limit reached")
-
 func taskName(ref platform.TaskRef) string {
 	return fmt.Sprintf("%s/%d/%d", ref.Job, ref.Member, ref.Attempt)
 }
--- a/scheduler/platform/remote/client.go
+++ b/scheduler/platform/remote/client.go
@@ -63,9 +63,14 @@
 	return "unexpected answer with status " + strconv.Itoa(e.Status)
 }
 
-var (
-	errTooLarge    = errors.New("body is too large")
-	errMisdirected = errors.New("answer belongs to another request")
+// causeError is the cause of an error of the platform.
+type causeError string
+
+func (e causeError) Error() string { return string(e) }
+
+const (
+	errTooLarge    causeError = "body is too large"
+	errMisdirected causeError = "answer belongs to another request"
 )
 
 // client calls one service.
--- a/scheduler/platform/remote/fault.go
+++ b/scheduler/platform/remote/fault.go
@@ -8,58 +8,43 @@
 	"daisylug.example/scheduler/platform"
 )
 
-// Types of errors on the wire.
-const (
-	typeConflict    = "conflict"
-	typeUnavailable = "unavailable"
-	typeMissing     = "missing"
-	typeDenied      = "denied"
-	typeBusy        = "busy"
-	typeLeaving     = "leaving"
-	typeInvalid     = "invalid"
-)
-
-// wireError is the body of an answer that reports an error. An unknown outcome
-// is not reported; the server closes the connection instead.
+// wireError is the body of an answer that reports an error; one field is set.
+// An unknown outcome is not reported; the server closes the connection instead.
 type wireError struct {
-	Type       string               `json:"type"`
-	Message    string               `json:"message,omitempty"`
-	Keys       []string             `json:"keys,omitempty"`
-	Kind       string               `json:"kind,omitempty"`
-	Name       string               `json:"name,omitempty"`
-	Worker     string               `json:"worker,omitempty"`
-	Generation *platform.Generation `json:"generation,omitempty"`
-	Load       *platform.Load       `json:"load,omitempty"`
+	Conflict    *platform.ConflictError `json:"conflict,omitempty"`
+	Unavailable *wireOutage             `json:"unavailable,omitempty"`
+	Missing     *platform.NotFoundError `json:"missing,omitempty"`
+	Denied      *platform.DeniedError   `json:"denied,omitempty"`
+	Busy        *platform.BusyError     `json:"busy,omitempty"`
+	Leaving     *platform.LeavingError  `json:"leaving,omitempty"`
+}
+
+// wireOutage reports a call that was not carried out.
+type wireOutage struct {
+	Cause string `json:"cause"`
 }
 
 // encodeError returns the status and body for the first typed error in the
 // chain of err, or false if the client must not learn an outcome.
 func encodeError(err error) (int, wireError, bool) {
 	for ; err != nil; err = errors.Unwrap(err) {
-		w := wireError{Message: err.Error()}
 		// An error's cause must not decide before the error itself does, so
 		// errors.As does not fit here.
 		switch e := any(err).(type) {
 		case *platform.ConflictError:
-			w.Type, w.Keys = typeConflict, e.Keys
-			return http.StatusConflict, w, true
+			return http.StatusConflict, wireError{Conflict: e}, true
 		case *platform.UnavailableError:
-			w.Type = typeUnavailable
-			return http.StatusServiceUnavailable, w, true
+			return http.StatusServiceUnavailable, wireError{Unavailable: &wireOutage{Cause: e.Error()}}, true
 		case *platform.NotFoundError:
-			w.Type, w.Kind, w.Name = typeMissing, e.Kind, e.Name
-			return http.StatusNotFound, w, true
+			return http.StatusNotFound, wireError{Missing: e}, true
 		case *platform.DeniedError:
-			w.Type, w.Worker, w.Generation = typeDenied, e.Worker, &e.Generation
-			return http.StatusForbidden, w, true
+			return http.StatusForbidden, wireError{Denied: e}, true
 		case *platform.BusyError:
-			w.Type, w.Worker, w.Load = typeBusy, e.Worker, &e.Load
-			return http.StatusTooManyRequests, w, true
+			return http.StatusTooManyRequests, wireError{Busy: e}, true
 		case *platform.LeavingError:
-			w.Type, w.Worker = typeLeaving, e.Worker
-			return http.StatusGone, w, true
+			return http.StatusGone, wireError{Leaving: e}, true
 		case *platform.UnknownError:
-			return 0, w, false
+			return 0, wireError{}, false
 		}
 	}
 	return 0, wireError{}, false
@@ -72,27 +57,19 @@
 	if json.Unmarshal(body, &w) != nil {
 		return nil
 	}
-	switch w.Type {
-	case typeConflict:
-		return &platform.ConflictError{Keys: w.Keys}
-	case typeUnavailable, typeInvalid:
-		return &platform.UnavailableError{Service: service, Cause: errors.New(w.Message)}
-	case typeMissing:
-		return &platform.NotFoundError{Kind: w.Kind, Name: w.Name}
-	case typeDenied:
-		return &platform.DeniedError{Worker: w.Worker, Generation: deref(w.Generation)}
-	case typeBusy:
-		return &platform.BusyError{Worker: w.Worker, Load: deref(w.Load)}
-	case typeLeaving:
-		return &platform.LeavingError{Worker: w.Worker}
+	switch {
+	case w.Conflict != nil:
+		return w.Conflict
+	case w.Unavailable != nil:
+		return &platform.UnavailableError{Service: service, Cause: causeError(w.Unavailable.Cause)}
+	case w.Missing != nil:
+		return w.Missing
+	case w.Denied != nil:
+		return w.Denied
+	case w.Busy != nil:
+		return w.Busy
+	case w.Leaving != nil:
+		return w.Leaving
 	}
 	return nil
 }
-
-func deref[T any](p *T) T {
-	var zero T
-	if p == nil {
-		return zero
-	}
-	return *p
-}
--- a/scheduler/platform/remote/fuzz_test.go
+++ b/scheduler/platform/remote/fuzz_test.go
@@ -82,7 +82,7 @@
 		w := httptest.NewRecorder()
 		defer func() {
 			e := recover()
-			if err, ok := e.(error); e != nil && !(ok && errors.Is(err, http.ErrAbortHandler)) {
+			if err, _ := e.(error); e != nil && !errors.Is(err, http.ErrAbortHandler) {
 				panic(e)
 			}
 			if starts := len(p.Fleet.Starts()); w.Code != http.StatusOK && starts > 0 {
--- a/scheduler/platform/remote/server.go
+++ b/scheduler/platform/remote/server.go
@@ -150,7 +150,7 @@
 }
 
 func writeInvalid(w http.ResponseWriter, err error) {
-	writeJSON(w, http.StatusBadRequest, wireError{Type: typeInvalid, Message: err.Error()})
+	writeJSON(w, http.StatusBadRequest, wireError{Unavailable: &wireOutage{Cause: err.Error()}})
 }
 
 func writeError(w http.ResponseWriter, err error) {
--- a/scheduler/platform/remote/wire_test.go
+++ b/scheduler/platform/remote/wire_test.go
@@ -45,7 +45,7 @@
 	}},
 	{"answers no JSON", func(w http.ResponseWriter, _ *http.Request) { writeBody(w, http.StatusOK, []byte("{")) }},
 	{"reports no known error", func(w http.ResponseWriter, _ *http.Request) {
-		writeBody(w, http.StatusBadGateway, []byte(`{"type":"new"}`))
+		writeBody(w, http.StatusBadGateway, []byte(`{"new":{}}`))
 	}},
 	{"redirects", func(w http.ResponseWriter, r *http.Request) {
 		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
