template: test propagation, stale reads and lost answers

Cause: changes must be in force within 6 s and never revert.

A call of a change is given up after Options.Timeout, so that a silent call does not use up the operator's whole deadline.

--- a/scheduler/template/change.go
+++ b/scheduler/template/change.go
@@ -130,6 +130,8 @@
 
 // try makes one attempt on the configuration as it is now.
 func (e *edit) try(ctx context.Context) (v Versions, settled bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, e.catalogue.options.Timeout)
+	defer cancel()
 	began := time.Now()
 	config, err := e.catalogue.readConfig(ctx)
 	if err != nil {
@@ -209,6 +211,7 @@
 		e.catalogue.adopt(next, began)
 		return Versions{Row: e.match + 1, Config: next.version}, true, nil
 	case errors.As(err, &conflict), errors.As(err, &unavailable):
+	case e.catalogue.blind:
 	default:
 		e.doubt = base.version
 	}
--- a/scheduler/template/poll.go
+++ b/scheduler/template/poll.go
@@ -27,7 +27,7 @@
 	defer reads.Wait()
 	ticker := time.NewTicker(c.options.Poll)
 	defer ticker.Stop()
-	polls := make(chan struct{}, max(1, int(c.options.Timeout/c.options.Poll)))
+	polls := make(chan struct{}, c.polls)
 	hinted := make(chan struct{}, 1)
 	c.start(ctx, &reads, polls)
 	for {
--- a/scheduler/template/template.go
+++ b/scheduler/template/template.go
@@ -69,8 +69,12 @@
 	hinted      int64
 	subscribers map[chan *Snapshot]bool
 
-	// lower lets a lower version replace a higher one (tests only).
-	lower bool
+	// polls is the number of polls under way at a time.
+	polls int
+
+	// lower lets a lower version replace a higher one, and blind makes a lost
+	// answer count as not written (tests only).
+	lower, blind bool
 }
 
 // New returns a Catalogue with an empty configuration of version 0. A nil
@@ -83,6 +87,7 @@
 		hints:       make(chan struct{}, 1),
 		snapshot:    &Snapshot{},
 		subscribers: make(map[chan *Snapshot]bool),
+		polls:       max(1, int(options.Timeout/options.Poll)),
 	}
 }
 
