Compare 16 random workers instead of 2, and shed later

Retries are earned by what is sent instead of what is offered, so that requests refused under overload do not raise the amplification.

--- a/scheduler/quote/admission.go
+++ b/scheduler/quote/admission.go
@@ -104,6 +104,7 @@
 func (r *Router) choice(w *waiter, now time.Time) choice {
 	return choice{
 		policy:    r.options.Policy,
+		size:      r.options.Choices,
 		template:  w.template,
 		avoid:     w.avoid,
 		now:       now,
--- a/scheduler/quote/call.go
+++ b/scheduler/quote/call.go
@@ -24,7 +24,6 @@
 func newCall(r *Router, q Request, now time.Time) *call {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget.deposit(q.Team)
 	return &call{
 		router: r,
 		quote:  q,
--- /dev/null
+++ b/scheduler/quote/measure_test.go
@@ -0,0 +1,268 @@
+package quote
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisylug.example/scheduler/platform/memory"
+)
+
+var (
+	full = flag.Bool("full", false, "measure at the size of a site")
+	seed = flag.Uint64("seed", 7, "seed of the measurements")
+)
+
+// load describes the requests of one measurement.
+type load struct {
+	factor  float64 // of the workers' capacity
+	length  time.Duration
+	warm    time.Duration // not counted
+	wait    time.Duration // to the deadline
+	work    float64       // mean seconds at speed 1
+	seed    uint64
+	event   func() // at half of the length
+	observe func(at time.Duration, took time.Duration)
+}
+
+// result is what the counted requests came to.
+type result struct {
+	offered, failed int
+	good            float64 // answers a second
+	p50, p99        time.Duration
+	refused         map[Ran]int
+	amplification   float64
+}
+
+func (r result) String() string {
+	return fmt.Sprintf("%7d %8.0f %8s %8s %6d  %6d/%d/%d  %6.3f", r.offered, r.good,
+		r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.failed,
+		r.refused[RanNo], r.refused[RanYes], r.refused[RanUnknown], r.amplification)
+}
+
+// capacity returns the requests a second that all slots can run.
+func (s *site) capacity(work float64) float64 {
+	sum := 0.0
+	for i, w := range s.listing().Workers {
+		sum += float64(w.Slots) * (1 + 3*float64(i%memory.WorkersPerRack)/(memory.WorkersPerRack-1))
+	}
+	return sum / work
+}
+
+// tally collects results under a lock.
+type tally struct {
+	mu       sync.Mutex
+	result   result
+	took     []time.Duration
+	attempts int
+	begun    int
+}
+
+func (t *tally) add(a Answer, err error, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.result.offered++
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused):
+		t.result.refused[refused.Ran]++
+	case a.Failed:
+		t.result.failed++
+	default:
+		t.took = append(t.took, took)
+	}
+}
+
+// drive sends the load to the instances, in proportion to their weights, and
+// waits until all requests have ended.
+func drive(s *site, doers []doer, l load) result {
+	t := &tally{result: result{refused: map[Ran]int{}}}
+	instances := s.listing().Instances
+	start := time.Now()
+	var group sync.WaitGroup
+	for i, d := range doers {
+		rate := l.factor * s.capacity(l.work) * part(self(i), instances)
+		random := rand.New(rand.NewPCG(l.seed, uint64(i)))
+		group.Go(func() { generate(&group, random, rate, start, i, d, l, t) })
+	}
+	if l.event != nil {
+		time.Sleep(l.length / 2)
+		l.event()
+	}
+	group.Wait()
+	r := t.result
+	slices.Sort(t.took)
+	if n := len(t.took); n > 0 {
+		r.p50, r.p99 = t.took[n/2], t.took[n*99/100]
+	}
+	r.good = float64(len(t.took)) / (l.length - l.warm).Seconds()
+	return r
+}
+
+func generate(group *sync.WaitGroup, random *rand.Rand, rate float64, start time.Time, i int, d doer, l load, t *tally) {
+	for n := 0; time.Since(start) < l.length; n++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		at := time.Since(start)
+		q := l.request(random, fmt.Sprintf("%d-%d", i, n))
+		group.Go(func() {
+			begin := time.Now()
+			a, err := d.Do(context.Background(), q)
+			if at >= l.warm {
+				t.add(a, err, time.Since(begin))
+			}
+			if l.observe != nil && i == 0 && err == nil {
+				l.observe(at, time.Since(begin))
+			}
+		})
+	}
+}
+
+func (l load) request(random *rand.Rand, id string) Request {
+	class := ClassQuick
+	switch x := random.Float64(); {
+	case x < 0.1:
+		class = ClassBackground
+	case x < 0.3:
+		class = ClassPlanned
+	}
+	scale := 0.5 + float64(random.IntN(3))/2
+	seconds := l.work * scale * (0.5 + random.Float64())
+	return Request{
+		ID: id, Team: fmt.Sprintf("t%d", random.IntN(4)), Template: fmt.Sprintf("p%.1f", scale), Class: class,
+		Deadline: time.Now().Add(l.wait), Idempotent: true, Payload: memory.Payload{Seconds: seconds}.Encode(),
+	}
+}
+
+// variant is a router or baseline to measure.
+type variant struct {
+	name string
+	make func(s *site, i int) doer
+}
+
+func routed(name string, o Options) variant {
+	return variant{name, func(s *site, i int) doer { return s.router(i, o) }}
+}
+
+var (
+	chosen   = routed("16 choices", Options{})
+	variants = []variant{
+		chosen,
+		routed("2 choices", Options{Policy: PolicyTwoChoices}),
+		routed("8 choices", Options{Choices: 8}),
+		routed("best of all", Options{Policy: PolicyBest}),
+		routed("round robin, free slots", Options{Policy: PolicyRoundRobin, off: disabled{ejection: true}}),
+		routed("least outst., free slots", Options{Policy: PolicyLeastOutstanding, off: disabled{ejection: true}}),
+		{"round robin", func(s *site, i int) doer { return newBound(s, i, false, 0) }},
+		{"least outstanding", func(s *site, i int) doer { return newBound(s, i, true, 0) }},
+		routed("no admission", Options{off: disabled{admission: true}}),
+		routed("naive retries", Options{MaxAttempts: 4, off: disabled{budget: true, ejection: true}}),
+	}
+)
+
+// scene is a site with one fault.
+type scene struct {
+	name    string
+	factors []float64
+	prepare func(s *site)
+}
+
+var scenes = []scene{
+	{"none", []float64{0.5, 0.9, 1, 2, 10}, func(*site) {}},
+	{"one worker 10x slow", []float64{0.9}, func(s *site) { s.world.Fleet.Get("a-w004").SetSpeed(0.25) }},
+	{"one worker fails all", []float64{0.5, 0.9}, func(s *site) { s.world.Fleet.Get("a-w004").SetFailureRate(1) }},
+	{"all workers fail 30 %", []float64{0.5}, func(s *site) {
+		for _, w := range s.Workers() {
+			s.world.Fleet.Get(w.Name).SetFailureRate(0.3)
+		}
+	}},
+}
+
+func measure(t *testing.T, v variant, c scene, factor float64) result {
+	var r result
+	synctest.Test(t, func(*testing.T) {
+		workers, instances := 16, 3
+		l := load{factor: factor, length: 4 * time.Second, warm: time.Second, wait: time.Second, work: 0.2, seed: *seed}
+		if factor > 2 {
+			l.length = 3 * time.Second
+		}
+		if *full {
+			workers, instances = 50, 7
+			l.length, l.warm = 10*time.Second, 2*time.Second
+		}
+		s := newSite(workers, instances, 4, l.seed)
+		c.prepare(s)
+		var doers []doer
+		for i := range instances {
+			doers = append(doers, v.make(s, i))
+		}
+		r = drive(s, doers, l)
+		r.amplification = float64(s.sent.Load()) / float64(s.first.Load())
+		time.Sleep(lingerLimit)
+	})
+	return r
+}
+
+// atOnce bounds the measurements that run in parallel.
+var atOnce = make(chan struct{}, 4)
+
+// table measures all variants under a fault and a load, and prints them.
+func table(t *testing.T, c scene, factor float64) map[string]result {
+	results := make([]result, len(variants))
+	t.Run(fmt.Sprintf("%s at %gx", c.name, factor), func(t *testing.T) {
+		for i, v := range variants {
+			t.Run(v.name, func(t *testing.T) {
+				t.Parallel()
+				atOnce <- struct{}{}
+				defer func() { <-atOnce }()
+				results[i] = measure(t, v, c, factor)
+			})
+		}
+	})
+	fmt.Printf("\nfault: %s, load: %gx, seed: %d\n%-25s %7s %8s %8s %8s %6s  %s  %s\n", c.name, factor, *seed,
+		"", "offered", "good/s", "p50", "p99", "failed", "refused no/yes/unknown", "sent/request")
+	named := map[string]result{}
+	for i, v := range variants {
+		fmt.Printf("%-25s %s\n", v.name, results[i])
+		named[v.name] = results[i]
+	}
+	return named
+}
+
+// TestMeasure prints the figures of docs/decisions/requests.md and guards the
+// targets of the design page: a picker that sends work to slow or failing
+// workers, a queue that serves late requests, and retries beyond the budget.
+func TestMeasure(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes minutes under the race detector")
+	}
+	peak := 0.0
+	goodput := map[float64]float64{}
+	for _, c := range scenes {
+		for _, f := range c.factors {
+			r := table(t, c, f)
+			own := r[chosen.name]
+			if own.amplification > 1.1 {
+				t.Errorf("%s at %gx: sent/request is %.3f, at most 1.1 allowed", c.name, f, own.amplification)
+			}
+			if c.name == "none" {
+				peak = max(peak, own.good)
+				goodput[f] = own.good
+			}
+			if c.name == "none" && f == 0.9 && own.p99 > r["round robin"].p99/2 {
+				t.Errorf("p99 at 0.9x is %s, round robin's is %s", own.p99, r["round robin"].p99)
+			}
+		}
+	}
+	for _, f := range []float64{2, 10} {
+		if goodput[f] < 0.9*peak {
+			t.Errorf("goodput at %gx is %.0f/s, the peak is %.0f/s", f, goodput[f], peak)
+		}
+	}
+}
--- a/scheduler/quote/options.go
+++ b/scheduler/quote/options.go
@@ -13,6 +13,9 @@
 
 // Policies.
 const (
+	// PolicyChoices picks the best of Options.Choices random workers by
+	// expected completion.
+	PolicyChoices Policy = "choices"
 	// PolicyTwoChoices picks the better of two random workers by expected
 	// completion.
 	PolicyTwoChoices Policy = "two-choices"
@@ -41,6 +44,8 @@
 // Options tune a router. The zero value of a field means its default.
 type Options struct {
 	Policy Policy
+	// Choices is the number of workers that PolicyChoices compares.
+	Choices int
 	// Refresh is the interval at which the view is read.
 	Refresh time.Duration
 	// QueuePerSlot bounds the queue, in requests per slot of this instance.
@@ -79,11 +84,12 @@
 
 // Defaults of Options.
 const (
+	defaultChoices      = 16
 	defaultRefresh      = 250 * time.Millisecond
 	defaultQueuePerSlot = 4
 	defaultMaxAge       = time.Second
 	defaultTarget       = 20 * time.Millisecond
-	defaultInterval     = 100 * time.Millisecond
+	defaultInterval     = 500 * time.Millisecond
 	defaultMaxAttempts  = 3
 	defaultRetryShare   = 0.1
 	defaultClaimWait    = 500 * time.Millisecond
@@ -99,7 +105,8 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.Policy = orDefault(o.Policy, PolicyTwoChoices)
+	o.Policy = orDefault(o.Policy, PolicyChoices)
+	o.Choices = orDefault(o.Choices, defaultChoices)
 	o.Refresh = orDefault(o.Refresh, defaultRefresh)
 	o.QueuePerSlot = orDefault(o.QueuePerSlot, defaultQueuePerSlot)
 	o.MaxAge = orDefault(o.MaxAge, defaultMaxAge)
--- a/scheduler/quote/picker.go
+++ b/scheduler/quote/picker.go
@@ -7,7 +7,9 @@
 
 // choice is the input of a pick.
 type choice struct {
-	policy   Policy
+	policy Policy
+	// size is the number of workers that PolicyChoices compares.
+	size     int
 	template string
 	// avoid names a worker that is used only if no other is free.
 	avoid string
@@ -36,8 +38,10 @@
 		return p.best(c, func(w *worker) float64 { return float64(w.running) })
 	case PolicyBest:
 		return p.best(c, p.cost(c))
+	case PolicyTwoChoices:
+		return p.sample(c, 2)
 	default:
-		return p.twoChoices(c)
+		return p.sample(c, c.size)
 	}
 }
 
@@ -50,21 +54,26 @@
 	return w.free(c.now) && w.healthy(c.now) && w.info.Name != c.avoid
 }
 
-// twoChoices compares two random workers. If neither is free or neither is
-// expected to meet the deadline, it considers all of them.
-func (p *picker) twoChoices(c choice) *worker {
+// sample compares a few random workers. If none of them is free or expected to
+// meet the deadline, it considers all.
+func (p *picker) sample(c choice, size int) *worker {
 	n := len(p.workers)
-	if n < 3 {
-		return p.best(c, p.cost(c))
+	cost := p.cost(c)
+	if n <= size {
+		return p.best(c, cost)
 	}
-	first := p.random.IntN(n)
-	second := p.random.IntN(n - 1)
-	if second >= first {
-		second++
+	var best *worker
+	lowest := 0.0
+	for range size {
+		w := p.workers[p.random.IntN(n)]
+		if w == best || !c.fits(w) {
+			continue
+		}
+		if x := cost(w); best == nil || x < lowest {
+			best, lowest = w, x
+		}
 	}
-	cost := p.cost(c)
-	best := least(c, cost, p.workers[first], p.workers[second])
-	if best == nil || cost(best) > float64(c.remaining) {
+	if best == nil || lowest > float64(c.remaining) {
 		return p.best(c, cost)
 	}
 	return best
--- a/scheduler/quote/settle.go
+++ b/scheduler/quote/settle.go
@@ -29,8 +29,7 @@
 	t try,
 ) try {
 	r := c.router
-	repeat := c.quote.Idempotent && c.attempts < r.options.MaxAttempts
-	if repeat || ctx.Err() != nil {
+	if c.mayRepeat() || ctx.Err() != nil {
 		go r.linger(client, ref, target, w)
 		return t
 	}
@@ -56,6 +55,19 @@
 	return t
 }
 
+// mayRepeat tells whether a request whose last attempt is uncertain may be
+// sent again in time.
+func (c *call) mayRepeat() bool {
+	r := c.router
+	if !c.quote.Idempotent || c.attempts >= r.options.MaxAttempts {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	service := time.Duration(r.picker.speeds.base(c.quote.Template))
+	return time.Until(c.quote.Deadline) > service+backoffLimit
+}
+
 // linger frees the slot once the worker says that the attempt has ended or
 // will never start.
 func (r *Router) linger(client platform.Worker, ref platform.RequestRef, target *worker, w *waiter) {
--- /dev/null
+++ b/scheduler/quote/site_test.go
@@ -0,0 +1,265 @@
+package quote
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/platform/memory"
+)
+
+// site is an in-memory data centre whose directory serves as the view.
+type site struct {
+	world *memory.Platform
+	teams []Team
+	// sent counts all attempts, first the first ones of a request.
+	sent, first atomic.Int64
+}
+
+func newSite(workers, instances int, spread float64, seed uint64) *site {
+	layout := memory.Layout{
+		DataCentres: []string{"a"}, Workers: workers, Accelerators: 8, Slots: 8, Connections: 60, Spread: spread,
+	}
+	c := memory.Config{Seed: seed, Workers: layout.Build()}
+	for i := range instances {
+		c.Instances = append(c.Instances, platform.Instance{Name: self(i), Weight: 1 + i%2, State: platform.StateLive})
+	}
+	return &site{world: memory.New(c)}
+}
+
+func self(i int) string { return fmt.Sprintf("i%d", i) }
+
+func (s *site) listing() platform.Listing {
+	l, err := s.world.Directory.List(context.Background())
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+func (s *site) Workers() []platform.WorkerInfo { return s.listing().Workers }
+
+func (s *site) Instances() []platform.Instance { return s.listing().Instances }
+
+func (s *site) Teams() []Team { return s.teams }
+
+func (s *site) router(i int, o Options) *Router {
+	o.Seed = uint64(i) + 1
+	return New(Dependencies{Self: self(i), Fleet: s, View: s, Claimer: &claims{}}, o)
+}
+
+// Worker returns the client of a worker that counts what is sent to it.
+func (s *site) Worker(name string) (platform.Worker, error) {
+	w, err := s.world.Fleet.Worker(name)
+	return counted{Worker: w, site: s}, err
+}
+
+type counted struct {
+	platform.Worker
+	site *site
+}
+
+func (c counted) Run(ctx context.Context, r platform.Request) (platform.Answer, error) {
+	c.site.sent.Add(1)
+	if r.Ref.Attempt&15 == 1 {
+		c.site.first.Add(1)
+	}
+	return c.Worker.Run(ctx, r)
+}
+
+// claims is a claimer in memory.
+type claims struct {
+	mu   sync.Mutex
+	held map[string]Ran
+	err  error
+	wait time.Duration
+}
+
+func (c *claims) Claim(ctx context.Context, id string) error {
+	if !sleep(ctx, c.wait) {
+		return &platform.UnknownError{Service: "table", Cause: ctx.Err()}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return c.err
+	}
+	if _, ok := c.held[id]; ok {
+		return &platform.ConflictError{Keys: []string{id}}
+	}
+	if c.held == nil {
+		c.held = map[string]Ran{}
+	}
+	c.held[id] = ""
+	return nil
+}
+
+func (c *claims) Finish(_ context.Context, id string, ran Ran) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[id] = ran
+	if ran == RanNo {
+		delete(c.held, id)
+	}
+	return nil
+}
+
+// wires dials connections that can be silenced.
+type wires struct {
+	site *site
+	mu   sync.Mutex
+	open []*wire
+}
+
+func (d *wires) Dial(_ context.Context, w platform.WorkerInfo) (Conn, error) {
+	worker, err := d.site.Worker(w.Name)
+	if err != nil {
+		return nil, err
+	}
+	c := &wire{worker: worker, name: w.Name, closed: make(chan struct{})}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open = append(d.open, c)
+	return c, nil
+}
+
+// silence makes every n-th open connection silent for good.
+func (d *wires) silence(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, c := range d.open {
+		if i%n == 0 {
+			c.silent.Store(true)
+		}
+	}
+}
+
+// wire is a connection. A silent one delivers nothing in either direction.
+type wire struct {
+	worker platform.Worker
+	name   string
+	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func over[T any](ctx context.Context, c *wire, call func(context.Context) (T, error)) (T, error) {
+	var answer T
+	var err error
+	if !c.silent.Load() {
+		answer, err = call(ctx)
+	}
+	if !c.silent.Load() {
+		return answer, err
+	}
+	var zero T
+	select {
+	case <-ctx.Done():
+	case <-c.closed:
+	}
+	return zero, &platform.UnknownError{Service: "worker", Cause: ctx.Err()}
+}
+
+func (c *wire) Run(ctx context.Context, r platform.Request) (platform.Answer, error) {
+	return over(ctx, c, func(ctx context.Context) (platform.Answer, error) { return c.worker.Run(ctx, r) })
+}
+
+func (c *wire) Revoke(ctx context.Context, ref platform.RequestRef) (platform.Outcome, error) {
+	return over(ctx, c, func(ctx context.Context) (platform.Outcome, error) { return c.worker.Revoke(ctx, ref) })
+}
+
+func (c *wire) Probe(ctx context.Context) (platform.Load, error) {
+	return over(ctx, c, c.worker.Probe)
+}
+
+func (c *wire) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// doer is a router or a baseline.
+type doer interface {
+	Do(ctx context.Context, q Request) (Answer, error)
+}
+
+// bound is the baseline balancer: it binds each request to a worker in turn,
+// or to the one with the fewest, waits there for a slot, and on a failure
+// repeats the request at once on the next worker.
+type bound struct {
+	site    *site
+	least   bool
+	retries int
+	mu      sync.Mutex
+	names   []string
+	slots   map[string]chan struct{}
+	pending map[string]int
+	turn    int
+}
+
+func newBound(s *site, i int, least bool, retries int) *bound {
+	b := &bound{site: s, least: least, retries: retries, slots: map[string]chan struct{}{}, pending: map[string]int{}}
+	l := s.listing()
+	for _, w := range l.Workers {
+		if n := Share(w.Name, w.Slots, self(i), l.Instances); n > 0 {
+			b.names = append(b.names, w.Name)
+			b.slots[w.Name] = make(chan struct{}, n)
+		}
+	}
+	return b
+}
+
+func (b *bound) next() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+	name := b.names[b.turn%len(b.names)]
+	if b.least {
+		for _, n := range b.names {
+			if b.pending[n] < b.pending[name] {
+				name = n
+			}
+		}
+	}
+	b.pending[name]++
+	return name
+}
+
+func (b *bound) Do(ctx context.Context, q Request) (Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	base := rand.Int() >> 20 << 4
+	for try := 1; ; try++ {
+		name := b.next()
+		a, err := b.run(ctx, name, platform.Request{
+			Ref:  platform.RequestRef{ID: q.ID, Attempt: base + try},
+			Team: q.Team, Template: q.Template, Deadline: q.Deadline, Payload: q.Payload,
+		})
+		b.mu.Lock()
+		b.pending[name]--
+		b.mu.Unlock()
+		if (err == nil && !a.Failed) || try > b.retries || ctx.Err() != nil {
+			if err != nil {
+				err = &RefusedError{Reason: ReasonDeadline, Ran: RanUnknown, Cause: err}
+			}
+			return Answer{Worker: name, Failed: a.Failed, Content: a.Content, Attempts: try}, err
+		}
+	}
+}
+
+func (b *bound) run(ctx context.Context, name string, r platform.Request) (platform.Answer, error) {
+	select {
+	case b.slots[name] <- struct{}{}:
+		defer func() { <-b.slots[name] }()
+	case <-ctx.Done():
+		return platform.Answer{}, ctx.Err()
+	}
+	w, err := b.site.Worker(name)
+	if err != nil {
+		return platform.Answer{}, err
+	}
+	return w.Run(ctx, r)
+}
--- a/scheduler/quote/try.go
+++ b/scheduler/quote/try.go
@@ -113,8 +113,7 @@
 		r.free(target, w)
 		return t
 	}
-	c.attempts++
-	r.metrics.attempts.Inc()
+	c.begin()
 	ref := platform.RequestRef{ID: c.quote.ID, Attempt: c.base + c.attempts}
 	sent := time.Now()
 	// The margin leaves time to ask what became of the attempt.
@@ -141,6 +140,19 @@
 	return t
 }
 
+// begin counts an attempt. Only what is sent earns retries; requests that are
+// refused under overload do not.
+func (c *call) begin() {
+	c.attempts++
+	c.router.metrics.attempts.Inc()
+	if c.attempts > 1 {
+		return
+	}
+	c.router.mu.Lock()
+	defer c.router.mu.Unlock()
+	c.router.budget.deposit(c.quote.Team)
+}
+
 // margin returns the time before the deadline at which an attempt is given up.
 func margin(remaining time.Duration) time.Duration {
 	return min(remaining/20, 20*time.Millisecond)
