--- /dev/null
+++ b/scheduler/member/network_test.go
@@ -0,0 +1,265 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/platform/memory"
+)
+
+// network is a transport in memory for virtual time. A session that has lost
+// one message stays silent in that direction, as a TCP connection would.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	cuts  map[[2]string]bool
+}
+
+func (n *network) cut(from, to string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{from, to}] = on
+}
+
+func (n *network) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cuts[[2]string{from, to}]
+}
+
+// isolate cuts a node from all others, or reconnects it.
+func (n *network) isolate(name string, on bool) {
+	for other := range n.nodes {
+		n.cut(name, other, on)
+		n.cut(other, name, on)
+	}
+}
+
+// node is the transport of one instance; its name is its address.
+type node struct {
+	net      *network
+	name     string
+	incoming chan Session
+}
+
+func (n *node) Dial(ctx context.Context, address string) (Session, error) {
+	n.net.mu.Lock()
+	to := n.net.nodes[address]
+	n.net.mu.Unlock()
+	if to == nil {
+		return nil, &net.AddrError{Err: "connection refused", Addr: address}
+	}
+	if n.net.isCut(n.name, address) || n.net.isCut(address, n.name) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	a, b := &side{net: n.net, from: n.name, to: address}, &side{net: n.net, from: address, to: n.name}
+	a.other, b.other = b, a
+	for _, s := range []*side{a, b} {
+		s.streams = make(chan net.Conn, 16)
+		s.done = make(chan struct{})
+	}
+	select {
+	case to.incoming <- b:
+		return a, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *node) Accept(ctx context.Context) (Session, error) {
+	select {
+	case s := <-n.incoming:
+		return s, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// side is one end of a session.
+type side struct {
+	net      *network
+	from, to string
+	other    *side
+	streams  chan net.Conn
+	done     chan struct{}
+	once     sync.Once
+	mu       sync.Mutex
+	conns    []net.Conn
+	stuck    bool
+}
+
+// lost tells whether a message sent now disappears.
+func (s *side) lost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stuck = s.stuck || s.net.isCut(s.from, s.to)
+	return s.stuck
+}
+
+func (s *side) add(c net.Conn) net.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, c)
+	return &pipe{Conn: c, side: s}
+}
+
+func (s *side) Open(context.Context) (net.Conn, error) {
+	select {
+	case <-s.done:
+		return nil, net.ErrClosed
+	default:
+	}
+	a, b := net.Pipe()
+	if !s.lost() {
+		s.other.streams <- s.other.add(b)
+	}
+	return s.add(a), nil
+}
+
+func (s *side) Accept(ctx context.Context) (net.Conn, error) {
+	select {
+	case c := <-s.streams:
+		return c, nil
+	case <-s.done:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *side) Close() error {
+	s.once.Do(func() {
+		close(s.done)
+		s.mu.Lock()
+		conns := s.conns
+		s.mu.Unlock()
+		for _, c := range conns {
+			if s.lost() {
+				_ = c.SetDeadline(time.Unix(1, 0))
+				continue
+			}
+			_ = c.Close()
+		}
+		if !s.lost() {
+			go func() { _ = s.other.Close() }()
+		}
+	})
+	return nil
+}
+
+type pipe struct {
+	net.Conn
+	side *side
+}
+
+func (p *pipe) Write(b []byte) (int, error) {
+	if p.side.lost() {
+		return len(b), nil
+	}
+	return p.Conn.Write(b)
+}
+
+// cluster is a set of groups in virtual time.
+type cluster struct {
+	t      *testing.T
+	net    *network
+	plat   *memory.Platform
+	groups map[string]*Group
+	dirs   map[string]*memory.Directory
+	stops  map[string]func()
+}
+
+func instance(name, centre string) platform.Instance {
+	return platform.Instance{Name: name, DataCentre: centre, Peer: name, Weight: 1, State: platform.StateLive}
+}
+
+// newCluster lists n instances in one data centre and starts them.
+func newCluster(t *testing.T, n int, options ...Option) *cluster {
+	c := emptyCluster(t)
+	for i := range n {
+		c.list(instance(fmt.Sprintf("i%d", i), "x"))
+	}
+	for i := range n {
+		c.start(instance(fmt.Sprintf("i%d", i), "x"), options...)
+	}
+	return c
+}
+
+func emptyCluster(t *testing.T) *cluster {
+	return &cluster{
+		t:      t,
+		net:    &network{nodes: map[string]*node{}, cuts: map[[2]string]bool{}},
+		plat:   memory.New(memory.Config{}),
+		groups: map[string]*Group{},
+		dirs:   map[string]*memory.Directory{},
+		stops:  map[string]func(){},
+	}
+}
+
+func (c *cluster) list(i platform.Instance) { c.plat.Directory.PutInstance(i) }
+
+func (c *cluster) start(i platform.Instance, options ...Option) *Group {
+	n := &node{net: c.net, name: i.Name, incoming: make(chan Session, 16)}
+	c.net.mu.Lock()
+	c.net.nodes[i.Name] = n
+	c.net.mu.Unlock()
+	c.dirs[i.Name] = c.plat.View().Directory
+	g := New(i, c.dirs[i.Name], n, options...)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := g.Run(ctx); err != nil {
+			c.t.Error(err)
+		}
+	}()
+	c.groups[i.Name] = g
+	c.stops[i.Name] = func() {
+		cancel()
+		<-ended
+	}
+	return g
+}
+
+// kill ends an instance. Silent peers learn of it only by its silence.
+func (c *cluster) kill(name string) {
+	c.net.isolate(name, true)
+	c.stops[name]()
+	delete(c.stops, name)
+	delete(c.groups, name)
+}
+
+func (c *cluster) close() {
+	for _, stop := range c.stops {
+		stop()
+	}
+	// Links of ended groups close in the background.
+	synctest.Wait()
+}
+
+// live returns the names that g counts as live members, in one string.
+func live(g *Group) string {
+	var names string
+	for _, i := range g.Members() {
+		if i.State == platform.StateLive {
+			names += i.Name + " "
+		}
+	}
+	return names
+}
+
+// until waits at most limit for a condition and returns the time it took.
+func until(limit time.Duration, condition func() bool) time.Duration {
+	begin := time.Now()
+	for !condition() && time.Since(begin) < limit {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
