--- a/scheduler/quote/bench_test.go
+++ b/scheduler/quote/bench_test.go
@@ -28,7 +28,7 @@
 	for _, p := range []Policy{PolicyChoices, PolicyTwoChoices, PolicyBest, PolicyRoundRobin} {
 		for _, n := range []int{10, 50, 650} {
 			b.Run(fmt.Sprintf("%s/%d", p, n), func(b *testing.B) {
-				s := newSite(n, 1, 4, 1)
+				s := newSite(n, 1, 1)
 				r := New(Dependencies{Self: self(0), Fleet: instant{}, View: s}, Options{Policy: p, Seed: 1})
 				q := Request{ID: "q", Team: "t0", Template: "p", Deadline: time.Now().Add(time.Hour), Idempotent: true}
 				b.ReportAllocs()
--- a/scheduler/quote/measure_test.go
+++ b/scheduler/quote/measure_test.go
@@ -29,7 +29,8 @@
 	work    float64       // mean seconds at speed 1
 	seed    uint64
 	event   func() // at half of the length
-	observe func(at time.Duration, took time.Duration)
+	observe func(at, took time.Duration, err error)
+	once    float64 // share of requests that are not idempotent
 }
 
 // result is what the counted requests came to.
@@ -58,11 +59,9 @@
 
 // tally collects results under a lock.
 type tally struct {
-	mu       sync.Mutex
-	result   result
-	took     []time.Duration
-	attempts int
-	begun    int
+	mu     sync.Mutex
+	result result
+	took   []time.Duration
 }
 
 func (t *tally) add(a Answer, err error, took time.Duration) {
@@ -117,8 +116,8 @@
 			if at >= l.warm {
 				t.add(a, err, time.Since(begin))
 			}
-			if l.observe != nil && i == 0 && err == nil {
-				l.observe(at, time.Since(begin))
+			if l.observe != nil && i == 0 {
+				l.observe(at, time.Since(begin), err)
 			}
 		})
 	}
@@ -136,7 +135,7 @@
 	seconds := l.work * scale * (0.5 + random.Float64())
 	return Request{
 		ID: id, Team: fmt.Sprintf("t%d", random.IntN(4)), Template: fmt.Sprintf("p%.1f", scale), Class: class,
-		Deadline: time.Now().Add(l.wait), Idempotent: true, Payload: memory.Payload{Seconds: seconds}.Encode(),
+		Deadline: time.Now().Add(l.wait), Idempotent: random.Float64() >= l.once, Payload: memory.Payload{Seconds: seconds, Echo: id}.Encode(),
 	}
 }
 
@@ -196,7 +195,7 @@
 			workers, instances = 50, 7
 			l.length, l.warm = 10*time.Second, 2*time.Second
 		}
-		s := newSite(workers, instances, 4, l.seed)
+		s := newSite(workers, instances, l.seed)
 		c.prepare(s)
 		var doers []doer
 		for i := range instances {
--- a/scheduler/quote/site_test.go
+++ b/scheduler/quote/site_test.go
@@ -14,13 +14,17 @@
 
 // site is an in-memory data centre whose directory serves as the view.
 type site struct {
-	world *memory.Platform
-	teams []Team
+	world  *memory.Platform
+	teams  []Team
+	claims claims
 	// sent counts all attempts, first the first ones of a request.
 	sent, first atomic.Int64
 }
 
-func newSite(workers, instances int, spread float64, seed uint64) *site {
+// spread is the ratio of the workers' speeds.
+const spread = 4
+
+func newSite(workers, instances int, seed uint64) *site {
 	layout := memory.Layout{
 		DataCentres: []string{"a"}, Workers: workers, Accelerators: 8, Slots: 8, Connections: 60, Spread: spread,
 	}
@@ -49,7 +53,7 @@
 
 func (s *site) router(i int, o Options) *Router {
 	o.Seed = uint64(i) + 1
-	return New(Dependencies{Self: self(i), Fleet: s, View: s, Claimer: &claims{}}, o)
+	return New(Dependencies{Self: self(i), Fleet: s, View: s, Claimer: &s.claims}, o)
 }
 
 // Worker returns the client of a worker that counts what is sent to it.
--- a/scheduler/quote/stats.go
+++ b/scheduler/quote/stats.go
@@ -23,9 +23,12 @@
 	// reportLife is the time in which a reported load loses its weight.
 	reportLife = time.Second
 
+	// ejectStreak is the least streak of failures for which a worker is
+	// ejected, and ejectChance the greatest probability of it at the fleet's
+	// rate of failures, which is taken to be fleetFloor at least.
 	ejectStreak   = 3
-	ejectShare    = 0.5
-	ejectFactor   = 3
+	ejectChance   = 1e-4
+	fleetFloor    = 0.02
 	ejectFirst    = time.Second
 	ejectLimit    = 30 * time.Second
 	leavingMemory = 10 * time.Second
@@ -209,13 +212,14 @@
 }
 
 // fail records a failed attempt and returns true if the worker is ejected. A
-// worker is ejected only if it fails much more often than the whole fleet;
-// otherwise the requests are at fault.
+// worker is ejected only for a streak of failures that is unlikely at the
+// fleet's rate; otherwise the requests or the network are at fault.
 func (w *worker) fail(fleet float64, now time.Time) bool {
 	w.failures += (1 - w.failures) * learnRate
 	w.streak++
 	again := !w.ejected.IsZero()
-	if !again && (w.streak < ejectStreak || w.streakShare() < max(ejectShare, ejectFactor*fleet)) {
+	chance := math.Pow(max(fleet, fleetFloor), float64(w.streak))
+	if !again && (w.streak < ejectStreak || chance > ejectChance) {
 		return false
 	}
 	pause := min(ejectFirst<<min(w.ejections, 10), ejectLimit)
@@ -224,13 +228,6 @@
 	return true
 }
 
-// streakShare returns the share of failures that the last attempts suggest: a
-// streak is stronger evidence than the slow mean.
-func (w *worker) streakShare() float64 {
-	recent := 1 - math.Pow(0.5, float64(w.streak))
-	return max(w.failures, recent)
-}
-
 // resize sets the share of slots. A smaller share counts at once, a larger
 // one after shareHold.
 func (w *worker) resize(slots int, first bool, now time.Time) {
--- a/scheduler/quote/try.go
+++ b/scheduler/quote/try.go
@@ -109,7 +109,7 @@
 	client, err := r.deps.Fleet.Worker(target.info.Name)
 	if err != nil {
 		t := try{outcome: outcomeUnsent, err: err}
-		r.learn(target, w, t, 0, false)
+		r.learn(target, w, t, 0, nil)
 		r.free(target, w)
 		return t
 	}
@@ -129,7 +129,7 @@
 	t := classify(ref, a, err, !r.options.off.verify)
 	took := time.Since(sent)
 	c.meter.service.Update(took.Seconds())
-	r.learn(target, w, t, took, run.Err() != nil)
+	r.learn(target, w, t, took, run.Err())
 	if t.outcome != outcomeUncertain {
 		r.free(target, w)
 		c.merge(t.ran())
@@ -164,10 +164,9 @@
 	r.release(target, w)
 }
 
-// learn updates what is known of the worker. An attempt that was given up at
-// its deadline counts against the worker only if it took much longer than
-// expected.
-func (r *Router) learn(target *worker, w *waiter, t try, took time.Duration, expired bool) {
+// learn updates what is known of the worker. End tells whether the attempt was
+// given up at its deadline or by its caller.
+func (r *Router) learn(target *worker, w *waiter, t try, took time.Duration, end error) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -186,16 +185,30 @@
 		target.leaving = now.Add(leavingMemory)
 	default:
 		expected := target.service(s, w.template, now)
-		long := float64(took) > 2*expected
-		if expired && long {
+		if end != nil && float64(took) > expected {
 			s.learn(target, w.template, took, now)
 		}
-		if !expired || long {
+		if blames(end, float64(took)/expected) {
 			r.judge(target, false, now)
 		}
 	}
 }
 
+// blames tells whether an attempt without an answer counts against the worker,
+// given the time it was granted relative to what was expected. An attempt
+// given up at its deadline was sent because it seemed to have enough time; a
+// caller may give up at any time.
+func blames(end error, granted float64) bool {
+	switch {
+	case end == nil:
+		return true
+	case errors.Is(end, context.DeadlineExceeded):
+		return granted > 0.9
+	default:
+		return granted > 2
+	}
+}
+
 // judge records a success or failure of the worker.
 func (r *Router) judge(target *worker, ok bool, now time.Time) {
 	fleet := &r.picker.failures
