--- a/scheduler/member/call.go
+++ b/scheduler/member/call.go
@@ -75,7 +75,7 @@
 	if err := writeFrame(stream, message); err != nil {
 		return unknown(cause(ctx, err))
 	}
-	answer := &schema.Response{}
+	answer := &schema.CallResponse{}
 	if err := readFrame(bufio.NewReaderSize(stream, callBuffer), answer); err != nil {
 		return unknown(cause(ctx, err))
 	}
@@ -100,7 +100,7 @@
 }
 
 // encode builds the request message and checks its size.
-func encode(ctx context.Context, method string, request proto.Message) (*schema.Request, error) {
+func encode(ctx context.Context, method string, request proto.Message) (*schema.CallRequest, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &schema.Request{Method: method, Body: body}
+	m := &schema.CallRequest{Method: method, Body: body}
 	if deadline, ok := ctx.Deadline(); ok {
 		// The remaining time, because the clocks of instances differ.
 		m.Budget = uint64(max(time.Until(deadline).Microseconds(), 1))
@@ -154,7 +154,7 @@
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	reader := bufio.NewReaderSize(stream, callBuffer)
-	request := &schema.Request{}
+	request := &schema.CallRequest{}
 	if err := readFrame(reader, request); err != nil {
 		return
 	}
@@ -172,7 +172,7 @@
 }
 
 // dispatch runs the handler of a request.
-func (g *Group) dispatch(ctx context.Context, l *link, r *schema.Request) *schema.Response {
+func (g *Group) dispatch(ctx context.Context, l *link, r *schema.CallRequest) *schema.CallResponse {
 	select {
 	case g.run.slots <- struct{}{}:
 		defer func() { <-g.run.slots }()
@@ -198,7 +198,7 @@
 	return respond(m, err)
 }
 
-func respond(m proto.Message, err error) *schema.Response {
+func respond(m proto.Message, err error) *schema.CallResponse {
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		return refuse(refused.Kind, refused.Message)
@@ -207,7 +207,7 @@
 		return fail(err)
 	}
 	if m == nil {
-		return &schema.Response{}
+		return &schema.CallResponse{}
 	}
 	body, err := proto.Marshal(m)
 	if err != nil {
@@ -216,18 +216,18 @@
 	if limit := maxMessage - callBuffer; len(body) > limit {
 		return fail(&SizeError{Size: len(body), Limit: limit})
 	}
-	return &schema.Response{Body: body}
+	return &schema.CallResponse{Body: body}
 }
 
-func fail(err error) *schema.Response {
+func fail(err error) *schema.CallResponse {
 	f := &schema.Fault{Message: err.Error()}
 	var kind interface{ Kind() string }
 	if errors.As(err, &kind) {
 		f.Code = kind.Kind()
 	}
-	return &schema.Response{Fault: f}
+	return &schema.CallResponse{Fault: f}
 }
 
-func refuse(kind, message string) *schema.Response {
-	return &schema.Response{Fault: &schema.Fault{Code: kind, Message: message, Refused: true}}
+func refuse(kind, message string) *schema.CallResponse {
+	return &schema.CallResponse{Fault: &schema.Fault{Code: kind, Message: message, Refused: true}}
 }
