--- a/scheduler/balance/balance.go
+++ b/scheduler/balance/balance.go
@@ -9,19 +9,20 @@
 // counts once whoever settles it and however often it is sent.
 //
 // One instance of a data centre, its planner, calls SetRunning and Admit. It
-// adjusts D(d) to S(d) + r(d) * min(L, (P - sum S) / sum r), where r is the
-// number of accelerators in use (at least Team.Floor and 1) and L is
-// Options.Outage. Unused allowance is returned by the same rule. Near the end
-// of the balance all data centres run out at the same time.
+// adjusts D(d) to S(d) + r(d) * min(H, (P - sum S) / sum r), where r is the
+// number of accelerators in use (at least Team.Floor and 1) and H = L + 2*t,
+// with L = Options.Outage and t the settlement interval: when an outage begins,
+// the latest settlement may be t old and the reports it lacks up to t more.
+// Unused allowance is returned by the same rule. Near the end of the balance
+// all data centres run out at the same time.
 //
 // # Bounds
 //
-// With t the settlement interval, g the lag of usage reports, R(d) the largest
-// number of accelerators in use in d, and work stopped when Admit with 0
-// accelerators refuses:
+// With g <= t the lag of usage reports, R(d) the largest number of accelerators
+// in use in d, and work stopped when Admit with 0 accelerators refuses:
 //
 //	overspending  <= sum over d of R(d) * (g + 4*t)
-//	                 + sum over d started without any balance of r(d) * L
+//	                 + sum over d started without any balance of r(d) * H
 //
 // Of the 4*t, one is the age of unsettled reports, two are the time for which
 // a confirmed balance that is not drawn yet is trusted, and one is the time
@@ -29,12 +30,14 @@
 // outage, since the planner counts the accelerators in use itself. Work that
 // is left running adds its remaining use.
 //
-//	early refusal <= sum over other e of (D(e) - S(e)) <= sum over e of r(e) * L
+//	early refusal <= sum over other e of (D(e) - S(e)) + error
+//	              <= sum over other e of r(e) * H + error
 //
-// This is the part of the balance that other data centres hold when one
-// refuses. A data centre cut off from the table does not refuse before it has
-// used its allowance: if r was in use at its last settlement and R since, this
-// is after L * r / R, less one settlement interval, or when the balance ends.
+// This is the balance left when a data centre refuses while its balance is
+// confirmed; the error of the estimates is at most the bound on overspending.
+// A data centre cut off from the table does not refuse before it has used its
+// allowance: if r was in use at its last settlement and R since, this is
+// L * r / R after the cut, or when the balance ends.
 package balance
 
 import (
@@ -65,6 +68,9 @@
 	Rows int
 }
 
+// ahead is how long an allowance lasts at the settlement that draws it.
+func (o Options) ahead() time.Duration { return o.Outage + trusted*o.Interval }
+
 // DefaultOptions returns the options for a data centre.
 func DefaultOptions(centre string) Options {
 	return Options{
--- a/scheduler/balance/draw.go
+++ b/scheduler/balance/draw.go
@@ -22,12 +22,12 @@
 	burn float64
 	// used is the use that is not charged yet.
 	used float64
-	// outage is in seconds.
-	outage float64
+	// ahead is the time to hold allowance for, in seconds.
+	ahead float64
 }
 
-// wanted returns the allowance to hold beyond the charges: burn for the length
-// of an outage, or a share by burn of what is left if that is less.
+// wanted returns the allowance to hold beyond the charges: burn for the time
+// ahead, or a share by burn of what is left if that is less.
 func (d demand) wanted(b *schema.Balance) float64 {
 	left := d.prepaid - d.used
 	burn := d.burn
@@ -37,7 +37,7 @@
 			burn += w.Burn
 		}
 	}
-	return d.used + d.burn*min(d.outage, max(0, left)/burn)
+	return d.used + d.burn*min(d.ahead, max(0, left)/burn)
 }
 
 // drawn returns the allowance to draw, which with those of the other data
--- a/scheduler/balance/settle.go
+++ b/scheduler/balance/settle.go
@@ -235,10 +235,11 @@
 
 // count adds the charges of one worker after its cursor to sums.
 func (b *batch) count(p *plan, name string, charges []charge, row platform.Row, sums map[string]float64) error {
-	cursor := &schema.Usage{Worker: name}
+	cursor := new(schema.Usage)
 	if err := proto.Unmarshal(row.Value, cursor); err != nil {
 		return &RecordError{Key: usagePrefix + name, Cause: err}
 	}
+	cursor.Worker = name
 	if b.account.uncounted {
 		cursor.Sequence = 0
 	}
@@ -262,10 +263,11 @@
 
 // balance charges one team and adjusts its allowance.
 func (b *batch) balance(p *plan, name string, sum float64, row platform.Row) error {
-	record := &schema.Balance{Team: name}
+	record := new(schema.Balance)
 	if err := proto.Unmarshal(row.Value, record); err != nil {
 		return &RecordError{Key: balancePrefix + name, Cause: err}
 	}
+	record.Team = name
 	p.balances[name], p.versions[name] = record, row.Version
 	centre := b.account.options.Centre
 	if sum > 0 {
@@ -279,7 +281,7 @@
 		w := own(record, centre)
 		w.Drawn = d.drawn(record)
 		if b.account.unbounded {
-			w.Drawn = w.Spent + d.burn*d.outage
+			w.Drawn = w.Spent + d.burn*d.ahead
 		}
 		w.Burn = d.burn
 	}
@@ -312,14 +314,16 @@
 		prepaid: t.info.Prepaid,
 		burn:    t.burn(),
 		used:    max(0, t.unsettled()-sum),
-		outage:  a.options.Outage.Seconds(),
+		ahead:   a.options.ahead().Seconds(),
 	}, t.planned
 }
 
 // adopt records the state after the transaction.
 func (b *batch) adopt(p *plan, began time.Time, marks map[string]float64) {
 	for name, sequence := range p.cursors {
-		b.account.unreport(b.account.usage.charged(name, sequence))
+		dropped, added := b.account.usage.charged(name, sequence)
+		b.account.reported(dropped, -1)
+		b.account.reported(added, 1)
 	}
 	for name, record := range p.balances {
 		if t := b.account.team(name); t != nil {
--- a/scheduler/balance/team.go
+++ b/scheduler/balance/team.go
@@ -19,7 +19,8 @@
 	// balance is the row as last read; nil if it was never read.
 	balance *schema.Balance
 	version int64
-	// read is when the reading began. It is in doubt after a transfer.
+	// read is when the reading began, here or in the instance that transferred
+	// the balance.
 	read        time.Time
 	transferred bool
 
@@ -96,7 +97,7 @@
 // the balance this is what a first draw would grant.
 func (t *team) local(o Options) float64 {
 	if t.balance == nil {
-		return min(t.info.Prepaid, max(t.info.Floor, 1)*o.Outage.Seconds()) - t.unsettled()
+		return min(t.info.Prepaid, max(t.info.Floor, 1)*o.ahead().Seconds()) - t.unsettled()
 	}
 	w := allowance(t.balance, o.Centre)
 	return w.Drawn - w.Spent - t.unsettled()
@@ -120,7 +121,7 @@
 	defer t.mu.Unlock()
 	t.advance(now)
 	local := t.local(o)
-	fresh := !t.transferred && now.Sub(t.read) <= trusted*o.Interval
+	fresh := now.Sub(t.read) <= trusted*o.Interval
 	admitted = local > 0 || fresh && local+t.pool() > 0
 	if admitted {
 		t.running += accelerators
--- a/scheduler/balance/usage.go
+++ b/scheduler/balance/usage.go
@@ -23,6 +23,9 @@
 type worker struct {
 	after uint64
 	held  []charge
+	// confirmed is set once the cursor row was read. Until then the held
+	// reports may have been charged before and do not count as use.
+	confirmed bool
 }
 
 // last returns the sequence of the latest report held or charged.
@@ -54,34 +57,36 @@
 // reports in between would be lost. Reports are charged at the next
 // settlement and must be sent again if this instance dies before.
 func (a *Account) Report(name string, after uint64, reports []platform.UsageReport) {
-	for _, c := range a.usage.add(name, after, reports) {
-		if t := a.team(c.team); t != nil {
-			t.report(c.seconds)
-		}
-	}
+	a.reported(a.usage.add(name, after, reports), 1)
 }
 
 // Forget drops the reports of a worker that another instance has taken over.
 func (a *Account) Forget(name string) {
-	a.usage.mu.Lock()
-	w := a.usage.workers[name]
-	delete(a.usage.workers, name)
-	a.usage.mu.Unlock()
-	if w != nil {
-		a.unreport(w.held)
-	}
+	a.reported(a.usage.forget(name), -1)
 }
 
-// unreport takes charges off the sums of their teams.
-func (a *Account) unreport(charges []charge) {
+// reported adds the charges, times the sign, to the sums of their teams.
+func (a *Account) reported(charges []charge, sign float64) {
 	for _, c := range charges {
 		if t := a.team(c.team); t != nil {
-			t.report(-c.seconds)
+			t.report(sign * c.seconds)
 		}
 	}
 }
 
-// add holds the reports that are new and returns them.
+// forget drops the worker and returns the charges that counted as use.
+func (u *usage) forget(name string) []charge {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w := u.workers[name]
+	delete(u.workers, name)
+	if w == nil || !w.confirmed {
+		return nil
+	}
+	return w.held
+}
+
+// add holds the reports that are new and returns those that count as use.
 func (u *usage) add(name string, after uint64, reports []platform.UsageReport) []charge {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -100,6 +105,9 @@
 		}
 		w.held = append(w.held, charge{sequence: r.Sequence, team: r.Team, seconds: max(0, r.Seconds)})
 	}
+	if !w.confirmed {
+		return nil
+	}
 	return slices.Clone(w.held[first:])
 }
 
@@ -116,29 +124,31 @@
 	return held
 }
 
-// charged moves the worker's cursor up to sequence and returns the charges
-// that are dropped. Held reports that do not follow the cursor are dropped
-// too; the worker sends them again.
-func (u *usage) charged(name string, sequence uint64) []charge {
+// charged moves the worker's cursor to sequence, as found in or written to its
+// row. It returns the charges that no longer count as use, and those that do
+// from now on. Held reports that do not follow the cursor are dropped; the
+// worker sends them again.
+func (u *usage) charged(name string, sequence uint64) (dropped, added []charge) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	w := u.workers[name]
 	if w == nil {
-		return nil
+		return nil, nil
 	}
-	if sequence < w.after {
-		dropped := w.held
-		*w = worker{after: sequence}
-		return dropped
+	n := len(w.held)
+	if sequence >= w.after {
+		n = 0
+		for n < len(w.held) && w.held[n].sequence <= sequence {
+			n++
+		}
 	}
-	n := 0
-	for n < len(w.held) && w.held[n].sequence <= sequence {
-		n++
+	dropped, rest := w.held[:n:n], slices.Clone(w.held[n:])
+	first := !w.confirmed
+	*w = worker{after: sequence, held: rest, confirmed: true}
+	if first {
+		return nil, slices.Clone(rest)
 	}
-	dropped := w.held[:n:n]
-	w.held = slices.Clone(w.held[n:])
-	w.after = sequence
-	return dropped
+	return dropped, nil
 }
 
 // start returns the sequence from which the worker's held reports are
