trial: test separate processes under faults

Adds a table of faults on seven instances and a stand-in: kills, pauses, table outages, slow and lost answers, cut and silent connections to the platform, and pairs. Each row checks every start that the workers saw against the answers that callers got.

--- /dev/null
+++ b/daisylugd/trial/fault_test.go
@@ -0,0 +1,121 @@
+package trial
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// fault is one row: what is done to the cluster while it serves.
+type fault struct {
+	name string
+	// guards names the failure that the row guards against.
+	guards string
+	do     func(c *cluster)
+}
+
+// loadLength is the time over which the load of a row arrives.
+const loadLength = 12 * time.Second
+
+var faults = []fault{
+	{"none", "work that is lost or doubled without any fault", func(*cluster) {}},
+	{"kill one of each data centre", "jobs lost with their planner or rack owner", func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		for _, i := range []int{0, 3, 5} {
+			c.kill(i)
+		}
+		time.Sleep(4 * time.Second)
+		for _, i := range []int{0, 3, 5} {
+			c.start(c.instances[i])
+		}
+	}},
+	{"kill all but one of a data centre", "racks that nobody takes over", func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		c.kill(1)
+		c.kill(2)
+		time.Sleep(6 * time.Second)
+		c.start(c.instances[1])
+		c.start(c.instances[2])
+	}},
+	{"pause beyond the lease", "an owner that continues to command after its lease has ended", func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.signal(0, syscall.SIGSTOP)
+		c.signal(3, syscall.SIGSTOP)
+		time.Sleep(12 * time.Second)
+		c.signal(0, syscall.SIGCONT)
+		c.signal(3, syscall.SIGCONT)
+	}},
+	{"table down", "work refused or lost although its workers are there", func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		c.faults(map[string]any{"outage": true})
+		time.Sleep(6 * time.Second)
+		c.faults(map[string]any{})
+	}},
+	{"table slow", "calls given up although the write takes effect later", func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.faults(map[string]any{"delay": "1500ms"})
+		time.Sleep(8 * time.Second)
+		c.faults(map[string]any{})
+	}},
+	{"answers lost", "writes repeated blindly after their answer was lost", func(c *cluster) {
+		c.faults(map[string]any{"after": 0.3, "before": 0.1})
+		time.Sleep(loadLength)
+		c.faults(map[string]any{})
+	}},
+	{"platform cut from a data centre", "a data centre that stops although its workers are there", func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		for _, i := range []int{0, 1, 2} {
+			c.relays[i].set(modeCut)
+		}
+		time.Sleep(6 * time.Second)
+		for _, i := range []int{0, 1, 2} {
+			c.relays[i].set(modePass)
+		}
+	}},
+	{"silent connections to the platform", "calls that wait on a connection that passes nothing", func(c *cluster) {
+		for range 3 {
+			time.Sleep(3 * time.Second)
+			for _, r := range c.relays {
+				r.set(modeSilent)
+			}
+		}
+	}},
+	{"kill while the table is down", "recovery that needs the table", func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		c.faults(map[string]any{"outage": true})
+		time.Sleep(time.Second)
+		c.kill(0)
+		c.kill(5)
+		time.Sleep(5 * time.Second)
+		c.faults(map[string]any{})
+		c.start(c.instances[0])
+		c.start(c.instances[5])
+	}},
+	{"pause while answers are lost", "a late write of a paused instance that replaces a newer one", func(c *cluster) {
+		c.faults(map[string]any{"after": 0.2})
+		time.Sleep(2 * time.Second)
+		c.signal(1, syscall.SIGSTOP)
+		time.Sleep(11 * time.Second)
+		c.signal(1, syscall.SIGCONT)
+		c.faults(map[string]any{})
+	}},
+}
+
+// TestFaults runs each row on separate processes. The promises are checked
+// against what the workers saw.
+func TestFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 8 processes for each row")
+	}
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			t.Logf("guards against %s", f.guards)
+			c := newCluster(t)
+			c.configure()
+			l := &load{c: c}
+			l.run(loadLength, func() { f.do(c) })
+			l.check(t)
+		})
+	}
+}
--- /dev/null
+++ b/daisylugd/trial/operator_test.go
@@ -0,0 +1,131 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against a change that is accepted and then replaced by a change that
+// was based on an older version, and against instances that go back.
+func TestOperatorsRace(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 8 processes")
+	}
+	t.Parallel()
+	c := newCluster(t)
+	c.configure()
+	const operators, rounds = 4, 10
+	var mu sync.Mutex
+	accepted := make(map[string]int)
+	var work sync.WaitGroup
+	for o := range operators {
+		work.Go(func() {
+			for n := range rounds {
+				a, err := c.call(context.Background(), http.MethodGet, c.url(o, "/v1/teams/north"), nil)
+				if err != nil {
+					t.Errorf("read: %v", err)
+					return
+				}
+				match := a.header.Get("ETag")
+				delete(a.body, "version")
+				delete(a.body, "config")
+				a.body["priority"] = 10 + o*rounds + n
+				made, err := c.call(context.Background(), http.MethodPut, c.url(o, "/v1/teams/north"), a.body, "If-Match", match)
+				if err != nil {
+					t.Errorf("change: %v", err)
+					return
+				}
+				switch made.status {
+				case http.StatusOK:
+					mu.Lock()
+					accepted[made.header.Get("ETag")]++
+					mu.Unlock()
+				case http.StatusConflict:
+				default:
+					t.Errorf("status %d: %v", made.status, made.body)
+				}
+			}
+		})
+	}
+	work.Wait()
+	for version, n := range accepted {
+		if n != 1 {
+			t.Errorf("version %s was given to %d changes", version, n)
+		}
+	}
+	c.awaitConfig(float64(4 + len(accepted)))
+	a, err := c.call(context.Background(), http.MethodGet, c.url(6, "/v1/teams/north"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := fmt.Sprintf("%q", fmt.Sprint(1+len(accepted))); a.header.Get("ETag") != want {
+		t.Errorf("team is at version %s after %d accepted changes", a.header.Get("ETag"), len(accepted))
+	}
+	t.Logf("%d of %d changes accepted", len(accepted), operators*rounds)
+}
+
+// Guards against requests that are cut by a graceful shutdown: every request
+// that was sent gets an answer, also those that arrive after the signal.
+func TestShutdownCutsNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 8 processes")
+	}
+	t.Parallel()
+	c := newCluster(t)
+	c.configure()
+	const callers = 8
+	stopped := make(chan struct{})
+	var cut, answered, refused int
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	for i := range callers {
+		work.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				// As the platform's balancer would, a caller stops using an
+				// instance that says that it is not ready.
+				ready, err := c.http.Get(c.url(1, "/readyz"))
+				if err != nil || ready.StatusCode != http.StatusOK {
+					return
+				}
+				_ = ready.Body.Close()
+				a, err := c.call(context.Background(), http.MethodPost, c.url(1, "/v1/quotes"), map[string]any{
+					"team": "north", "template": "quote", "id": fmt.Sprintf("s-%d-%d", i, n),
+					"payload": map[string]any{"seconds": 0.1},
+				})
+				mu.Lock()
+				switch {
+				case err != nil:
+					cut++
+					t.Errorf("request was cut: %v", err)
+				case a.status == http.StatusOK:
+					answered++
+				default:
+					refused++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	c.signal(1, syscall.SIGTERM)
+	err := c.instances[1].cmd.Wait()
+	close(stopped)
+	work.Wait()
+	if err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if refused > 0 {
+		t.Errorf("%d requests were refused although the instance was ready when asked", refused)
+	}
+	t.Logf("answered %d, refused %d, cut %d", answered, refused, cut)
+}
--- /dev/null
+++ b/daisylugd/trial/promise_test.go
@@ -0,0 +1,96 @@
+package trial
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// check compares the history with what the workers saw, and reports each
+// broken promise.
+func (l *load) check(t *testing.T) {
+	all, doubled := l.c.starts()
+	byJob := make(map[string]map[int]int)
+	byQuote := make(map[string]int)
+	for _, s := range all {
+		if s.Kind == "quick" {
+			byQuote[s.ID]++
+			continue
+		}
+		if byJob[s.ID] == nil {
+			byJob[s.ID] = make(map[int]int)
+		}
+		byJob[s.ID][s.Member]++
+	}
+	for _, s := range doubled {
+		t.Errorf("attempt %d of %s %s was started twice", s.Attempt, s.Kind, s.ID)
+	}
+	unknown := l.checkJobs(t, byJob)
+	answered, refused := l.checkQuotes(t, byQuote)
+	t.Logf("jobs %d, of which unknown %d; quick requests %d: answered %d, refused %d; starts %d",
+		len(l.jobs), unknown, len(l.quotes), answered, refused, len(all))
+}
+
+// checkJobs: no accepted job is lost, none that is not idempotent starts twice,
+// and each result belongs to its job and is whole.
+func (l *load) checkJobs(t *testing.T, starts map[string]map[int]int) (unknown int) {
+	for _, j := range l.jobs {
+		switch {
+		case j.err != nil:
+			t.Errorf("%s: %v", j.key, j.err)
+		case j.id == "":
+			t.Errorf("%s: not accepted within %v", j.key, acceptWait)
+		case j.state == "done":
+			checkResults(t, j)
+		case j.state == "unknown" && !j.idempotent:
+			unknown++
+		default:
+			t.Errorf("%s (%s): state %q", j.key, j.id, j.state)
+		}
+		for member, n := range starts[j.id] {
+			if n > 1 && !j.idempotent {
+				t.Errorf("%s is not idempotent, but member %d started %d times", j.key, member, n)
+			}
+		}
+	}
+	return unknown
+}
+
+func checkResults(t *testing.T, j *job) {
+	members := 2
+	if !j.idempotent {
+		members = 1
+	}
+	if len(j.results) != members {
+		t.Errorf("%s: %d results of %d members", j.key, len(j.results), members)
+	}
+	for _, r := range j.results {
+		if text, _ := r.(string); !strings.HasPrefix(text, j.key) {
+			t.Errorf("%s: got the result %q", j.key, text)
+		}
+	}
+}
+
+// checkQuotes: an answer belongs to its request, "not run" is true, and what is
+// not idempotent starts at most once.
+func (l *load) checkQuotes(t *testing.T, starts map[string]int) (answered, refused int) {
+	for _, q := range l.quotes {
+		started := starts["north/"+q.id]
+		if q.err == nil && q.status == http.StatusOK {
+			answered++
+			if !strings.HasPrefix(q.content, q.id) {
+				t.Errorf("request %s got the answer %q", q.id, q.content)
+			}
+		}
+		if q.ran == "no" {
+			refused++
+			if started > 0 {
+				t.Errorf("request %s was refused as not run (%s), but started %d times", q.id, q.kind, started)
+			}
+		}
+		if !q.idempotent && started > 1 {
+			t.Errorf("request %s is not idempotent, but started %d times", q.id, started)
+		}
+	}
+	return answered, refused
+}
--- /dev/null
+++ b/daisylugd/trial/trial.go
@@ -0,0 +1,3 @@
+// Package trial tests daisylugd as separate processes under faults. It has
+// tests only.
+package trial
