rack: claims, gangs, recovery and the set of owners

A rack needs one owner at a time without the table. The owner claims all workers under the highest generation seen plus one, starts gangs by reserving and then committing all members, adopts or stops on takeover what it finds, and lets workers drop a result only after it is committed.

--- a/scheduler/platform/errors.go
+++ b/scheduler/platform/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // ConflictError reports rows that were not at the expected version.
@@ -59,6 +60,9 @@
 	Worker string `json:"worker"`
 	// Generation is the one the worker has adopted.
 	Generation Generation `json:"generation"`
+	// Deadline is the end of the lease in force; zero if it is not known. It
+	// tells whether the holder still renews.
+	Deadline time.Time `json:"deadline,omitzero"`
 }
 
 func (e *DeniedError) Error() string {
--- a/scheduler/platform/memory/machine.go
+++ b/scheduler/platform/memory/machine.go
@@ -142,7 +142,7 @@
 	if m.fenceOff || g.Compare(m.lease.Generation) >= 0 {
 		return nil
 	}
-	return &platform.DeniedError{Worker: m.info.Name, Generation: m.lease.Generation}
+	return &platform.DeniedError{Worker: m.info.Name, Generation: m.lease.Generation, Deadline: m.lease.Deadline}
 }
 
 func (m *machine) claim(now time.Time, l platform.Lease) (platform.Inventory, error) {
--- a/scheduler/rack/errors.go
+++ b/scheduler/rack/errors.go
@@ -43,6 +43,15 @@
 
 func (e *LostError) Unwrap() error { return e.Denied }
 
+// SilentError reports a rack of which no worker answers.
+type SilentError struct {
+	Rack string
+}
+
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("no worker of rack %s answers", e.Rack)
+}
+
 // LeaseError reports an action on a worker whose command lease has ended.
 // Nothing was sent.
 type LeaseError struct {
@@ -58,9 +67,10 @@
 	Job     string
 	Attempt int
 	Worker  string
-	// Ran is RanNo if no member was committed, RanYes if some ran and all
-	// have been stopped, and RanUnknown if some may still run; they are
-	// stopped when their worker answers again.
+	// Ran is RanNo if no member has run, RanYes if some have, and RanUnknown
+	// if some may have run. What may run is stopped, by this owner or, after
+	// the rack is lost, by the next one, unless that finds the gang complete
+	// and adopts it.
 	Ran   Ran
 	Cause error
 }
@@ -75,17 +85,27 @@
 // StopError reports a gang of which some members could not be stopped yet.
 // The owner continues to stop them.
 type StopError struct {
-	Job    string
-	Worker string
-	Cause  error
+	Job   string
+	Cause error
 }
 
 func (e *StopError) Error() string {
-	return fmt.Sprintf("job %s is not stopped on worker %s: %v", e.Job, e.Worker, e.Cause)
+	return fmt.Sprintf("job %s is not stopped yet: %v", e.Job, e.Cause)
 }
 
 func (e *StopError) Unwrap() error { return e.Cause }
 
+// EndedError reports a gang that had ended with all results when it was to be
+// stopped. Its outcome is delivered.
+type EndedError struct {
+	Job     string
+	Attempt int
+}
+
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("attempt %d of job %s has ended by itself", e.Attempt, e.Job)
+}
+
 // RequestError reports a gang request that can never be carried out.
 type RequestError struct {
 	Field  string
