--- a/scheduler/platform/memory/fleet.go
+++ b/scheduler/platform/memory/fleet.go
@@ -1,6 +1,8 @@
 package memory
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +21,7 @@
 	saved := &sync.Map{}
 	for _, w := range c.Workers {
 		m := newMachine(c, w, saved, f.journal)
-		f.workers[w.Info.Name] = Worker{Injector: NewInjector(m.service(), c.Seed), m: m}
+		f.workers[w.Info.Name] = Worker{m: m}
 	}
 	return f
 }
@@ -27,7 +29,7 @@
 func (f *Fleet) view(seed uint64) *Fleet {
 	v := &Fleet{workers: map[string]Worker{}, book: f.book, journal: f.journal}
 	for name, w := range f.workers {
-		v.workers[name] = Worker{Injector: NewInjector(w.service, seed), m: w.m}
+		v.workers[name] = Worker{Injector: NewInjector(w.m.service(), seed), m: w.m}
 	}
 	return v
 }
@@ -41,6 +43,9 @@
 	return w, nil
 }
 
+// Names returns the names of the workers in order.
+func (f *Fleet) Names() []string { return slices.Sorted(maps.Keys(f.workers)) }
+
 // Get returns the worker's view with its controls. It panics if there is no
 // such worker.
 func (f *Fleet) Get(name string) Worker {
@@ -51,6 +56,16 @@
 	return w
 }
 
+// SetAddress sets the address under which the directory lists the worker, and
+// has always listed it.
+func (f *Fleet) SetAddress(name, address string) {
+	m := f.Get(name).m
+	m.mu.Lock()
+	m.info.Address = address
+	m.mu.Unlock()
+	f.book.setAddress(name, address)
+}
+
 // SetLeaving makes the worker refuse new work, or take it again. The directory
 // shows the change after its lag.
 func (f *Fleet) SetLeaving(name string, leaving bool) {
@@ -152,3 +167,15 @@
 	}
 	return all
 }
+
+// Attempts returns the outcomes of the attempts that the worker remembers.
+func (w Worker) Attempts() map[platform.RequestRef]platform.Outcome {
+	w.m.mu.Lock()
+	defer w.m.mu.Unlock()
+	w.m.advance(time.Now())
+	all := make(map[platform.RequestRef]platform.Outcome, len(w.m.attempts))
+	for ref, a := range w.m.attempts {
+		all[ref] = a.outcome
+	}
+	return all
+}
