Test pure parts, draining, leaving, shares, teams, forwarding and claims

Faults found by these tests: the name of a worker was read outside the lock (race detector); with little load, a fast worker that was never tried stayed unknown while a known one was free, so workers with few samples now count as faster; two choices could draw the same worker twice.

A connection now counts until it is closed, so that the share of a worker's connections is not exceeded while one is replaced.

--- a/scheduler/quote/call.go
+++ b/scheduler/quote/call.go
@@ -70,13 +70,17 @@
 			}
 			return Answer{}, c.refuse(reason, t.err)
 		}
-		c.avoid = target.info.Name
+		c.avoid = target.name
 	}
 }
 
 func (c *call) waiter() *waiter {
+	team := c.quote.Team
+	if c.router.options.off.fairness {
+		team = ""
+	}
 	return &waiter{
-		team:     c.quote.Team,
+		team:     team,
 		template: c.quote.Template,
 		class:    c.quote.Class,
 		avoid:    c.avoid,
@@ -88,7 +92,7 @@
 
 func (c *call) answer(target *worker, t try) Answer {
 	return Answer{
-		Worker:   target.info.Name,
+		Worker:   target.name,
 		Failed:   t.answer.Failed,
 		Content:  t.answer.Content,
 		Attempts: c.attempts,
--- a/scheduler/quote/host.go
+++ b/scheduler/quote/host.go
@@ -23,8 +23,9 @@
 	mu    sync.Mutex
 	info  platform.WorkerInfo
 	limit int
-	// open counts all connections, including those being opened.
-	open int
+	// open counts all connections, including those being opened or closed.
+	open    int
+	closing int
 	// runs counts the connections that carry requests.
 	runs int
 	// idle connections, the last used at the end.
@@ -54,7 +55,7 @@
 	defer h.mu.Unlock()
 	h.info = info
 	h.limit = limit
-	for h.open > h.limit && len(h.idle) > 0 {
+	for h.excess() && len(h.idle) > 0 {
 		h.discard(h.pop(0))
 	}
 }
@@ -66,13 +67,23 @@
 	return l
 }
 
-// discard closes a connection that is not idle. The caller holds the lock.
+// discard closes a connection that is not idle. The caller holds the lock. The
+// connection counts until it is closed.
 func (h *host) discard(l *link) {
-	h.open--
-	h.signal()
-	go func() { _ = l.conn.Close() }()
+	h.closing++
+	go func() {
+		_ = l.conn.Close()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.closing--
+		h.open--
+		h.signal()
+	}()
 }
 
+// excess tells whether there are more connections than the limit allows.
+func (h *host) excess() bool { return h.open-h.closing > h.limit }
+
 func (h *host) signal() {
 	select {
 	case h.freed <- struct{}{}:
@@ -129,7 +140,7 @@
 	if !fresh && last >= 0 && h.idle[last].proven.After(h.suspect) {
 		return h.pop(last), false
 	}
-	if h.open >= h.limit && last >= 0 {
+	if h.open-h.closing >= h.limit && last >= 0 {
 		h.discard(h.pop(0))
 	}
 	if h.open >= h.limit {
@@ -159,7 +170,7 @@
 func (h *host) put(l *link) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.open > h.limit {
+	if h.excess() {
 		h.discard(l)
 		return
 	}
--- a/scheduler/quote/options.go
+++ b/scheduler/quote/options.go
@@ -77,6 +77,7 @@
 	budget    bool
 	claim     bool
 	ejection  bool
+	fairness  bool
 	revoke    bool
 	share     bool
 	verify    bool
--- a/scheduler/quote/picker.go
+++ b/scheduler/quote/picker.go
@@ -20,6 +20,7 @@
 
 // picker holds the workers among which requests are spread.
 type picker struct {
+	// workers are in no particular order.
 	workers []*worker
 	speeds  speeds
 	random  *rand.Rand
@@ -51,7 +52,7 @@
 
 // fits tells whether w is a first choice.
 func (c choice) fits(w *worker) bool {
-	return w.free(c.now) && w.healthy(c.now) && w.info.Name != c.avoid
+	return w.free(c.now) && w.healthy(c.now) && w.name != c.avoid
 }
 
 // sample compares a few random workers. If none of them is free or expected to
@@ -64,9 +65,12 @@
 	}
 	var best *worker
 	lowest := 0.0
-	for range size {
-		w := p.workers[p.random.IntN(n)]
-		if w == best || !c.fits(w) {
+	for i := range size {
+		// A partial shuffle draws each worker at most once.
+		k := i + p.random.IntN(n-i)
+		p.workers[i], p.workers[k] = p.workers[k], p.workers[i]
+		w := p.workers[i]
+		if !c.fits(w) {
 			continue
 		}
 		if x := cost(w); best == nil || x < lowest {
--- a/scheduler/quote/router.go
+++ b/scheduler/quote/router.go
@@ -202,7 +202,7 @@
 	known := make(map[string]*worker, len(r.picker.workers))
 	for _, w := range r.picker.workers {
 		w.listed = false
-		known[w.info.Name] = w
+		known[w.name] = w
 	}
 	kept := make([]*worker, 0, len(infos))
 	for _, info := range infos {
--- /dev/null
+++ b/scheduler/quote/router_test.go
@@ -0,0 +1,305 @@
+package quote
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/platform/memory"
+)
+
+// A bubble runs on its own goroutine, where a halt would end the process.
+func init() { SetDefaultFailureMode(FailureContinues) }
+
+// virtual runs a scenario in virtual time.
+func virtual(t *testing.T, run func(c C)) func(C) {
+	return func(c C) {
+		synctest.Test(t, func(*testing.T) {
+			run(c)
+			time.Sleep(2 * lingerLimit)
+		})
+	}
+}
+
+func quick(id string, seconds float64) Request {
+	return Request{
+		ID: id, Team: "t0", Template: "p", Idempotent: true,
+		Deadline: time.Now().Add(5 * time.Second), Payload: memory.Payload{Seconds: seconds, Echo: id}.Encode(),
+	}
+}
+
+// start runs n requests in the background and returns a channel of their
+// errors.
+func start(r doer, n int, seconds float64) <-chan error {
+	errs := make(chan error, n)
+	for i := range n {
+		go func() {
+			_, err := r.Do(context.Background(), quick(fmt.Sprintf("s%d", i), seconds))
+			errs <- err
+		}()
+	}
+	return errs
+}
+
+func refusal(err error) RefusedError {
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		return RefusedError{}
+	}
+	return RefusedError{Reason: refused.Reason, Ran: refused.Ran}
+}
+
+// TestDrain guards against requests cut by a shutdown, waiting ones included.
+func TestDrain(t *testing.T) {
+	Convey("When an instance drains with requests running and waiting", t, virtual(t, func(c C) {
+		s := newSite(1, 1, 1)
+		r := s.router(0, Options{})
+		errs := start(r, 12, 0.3)
+		synctest.Wait()
+		c.So(r.Status().Running, ShouldEqual, 8)
+		c.So(r.Status().Queue.Length, ShouldEqual, 4)
+		began := time.Now()
+		c.So(r.Drain(context.Background()), ShouldBeNil)
+		c.So(time.Since(began), ShouldBeGreaterThanOrEqualTo, 600*time.Millisecond)
+		for range 12 {
+			c.So(<-errs, ShouldBeNil)
+		}
+		_, err := r.Do(context.Background(), quick("late", 0.1))
+		c.So(refusal(err), ShouldResemble, RefusedError{Reason: ReasonDraining, Ran: RanNo})
+	}))
+}
+
+// TestLeaving guards against new work on a worker more than 3 s after it
+// began to leave, learned from the directory or from its own answers.
+func TestLeaving(t *testing.T) {
+	run := func(lag time.Duration, own bool) (last time.Duration, errs int) {
+		s := newSite(8, 1, 1)
+		s.world.Directory.SetLag(lag)
+		r := s.router(0, Options{})
+		time.Sleep(lag + time.Second)
+		for i := range 100 {
+			// The first requests earn the retry of the one that is refused.
+			_, _ = r.Do(context.Background(), quick(fmt.Sprintf("w%d", i), 0.01))
+		}
+		begin := time.Now()
+		s.world.Directory.PutWorker(platform.WorkerInfo{Name: "a-w007", Slots: 8, State: platform.StateLeaving})
+		if own {
+			s.world.Fleet.SetLeaving("a-w007", true)
+		}
+		for i := range 500 {
+			_, err := r.Do(context.Background(), quick(fmt.Sprint(i), 0.01))
+			if err != nil {
+				errs++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, w := range s.world.Fleet.Starts() {
+			if w.Worker == "a-w007" {
+				last = w.At.Sub(begin)
+			}
+		}
+		return last, errs
+	}
+	Convey("A leaving worker gets no work", t, func() {
+		Convey("once the directory lists it, with a lag of 2 s", virtual(t, func(c C) {
+			last, errs := run(2*time.Second, false)
+			c.So(last, ShouldBeBetween, time.Second, 3*time.Second)
+			c.So(errs, ShouldEqual, 0)
+		}))
+		Convey("once it refuses a request", virtual(t, func(c C) {
+			last, errs := run(time.Hour, true)
+			c.So(last, ShouldBeLessThanOrEqualTo, 0)
+			c.So(errs, ShouldEqual, 0)
+		}))
+	})
+}
+
+// TestSlots guards against more requests on a worker than it has slots: the
+// instances' shares keep every request from being refused by its worker.
+func TestSlots(t *testing.T) {
+	refusals := func(off bool) int {
+		s := newSite(16, 3, *seed)
+		var busy atomic.Int64
+		s.refused = func(err error) {
+			if classifyError(err) == outcomeBusy {
+				busy.Add(1)
+			}
+		}
+		var doers []doer
+		for i := range 3 {
+			doers = append(doers, s.router(i, Options{off: disabled{share: off}}))
+		}
+		drive(s, doers, load{factor: 2, length: time.Second, wait: time.Second, work: 0.2, seed: *seed})
+		return int(busy.Load())
+	}
+	Convey("At twice the capacity", t, func() {
+		Convey("no worker is offered more than its slots", virtual(t, func(c C) { c.So(refusals(false), ShouldEqual, 0) }))
+		Convey("without shares workers refuse", virtual(t, func(c C) { c.So(refusals(true), ShouldBeGreaterThan, 0) }))
+	})
+}
+
+// TestTeams guards against a team that crowds out others.
+func TestTeams(t *testing.T) {
+	served := func(off bool) int {
+		s := newSite(4, 1, 1)
+		s.teams = []Team{{Name: "t0", Weight: 1}, {Name: "greedy", Weight: 1}}
+		r := s.router(0, Options{off: disabled{fairness: off}})
+		greedy := func(ctx context.Context) {
+			for i := 0; ctx.Err() == nil; i++ {
+				q := quick(fmt.Sprintf("g%d", i), 0.2)
+				q.Team = "greedy"
+				go func() { _, _ = r.Do(ctx, q) }()
+				time.Sleep(time.Millisecond)
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+		defer cancel()
+		go greedy(ctx)
+		time.Sleep(2 * time.Second)
+		served := 0
+		for i := range 100 {
+			q := quick(fmt.Sprintf("v%d", i), 0.1)
+			q.Deadline = time.Now().Add(500 * time.Millisecond)
+			if _, err := r.Do(context.Background(), q); err == nil {
+				served++
+			}
+		}
+		return served
+	}
+	Convey("When another team sends several times the capacity", t, func() {
+		Convey("a team within its share is served", virtual(t, func(c C) { c.So(served(false), ShouldBeGreaterThanOrEqualTo, 99) }))
+		Convey("without fair queueing it is not", virtual(t, func(c C) { c.So(served(true), ShouldBeLessThan, 90) }))
+	})
+}
+
+// away is a forwarder to another data centre.
+type away struct {
+	got []Request
+	err error
+}
+
+func (a *away) Forward(_ context.Context, q Request) (Answer, error) {
+	a.got = append(a.got, q)
+	return Answer{Worker: "b"}, a.err
+}
+
+// TestForward guards against requests that leave a data centre that could
+// serve them, and against false reports about those that did.
+func TestForward(t *testing.T) {
+	unavailable := &platform.UnavailableError{Service: "b"}
+	remote := &RefusedError{Reason: ReasonOverload, Ran: RanNo}
+	table := []struct {
+		name    string
+		leaving bool
+		edit    func(q *Request)
+		err     error
+		sent    int
+		want    RefusedError
+	}{
+		{"own workers", false, func(*Request) {}, nil, 0, RefusedError{}},
+		{"no own worker", true, func(*Request) {}, nil, 1, RefusedError{}},
+		{"background", true, func(q *Request) { q.Class = ClassBackground }, nil, 0, RefusedError{Reason: ReasonWorkers, Ran: RanNo}},
+		{"already forwarded", true, func(q *Request) { q.Forwarded = true }, nil, 0, RefusedError{Reason: ReasonWorkers, Ran: RanNo}},
+		{"not sent", true, func(*Request) {}, unavailable, 1, RefusedError{Reason: ReasonWorkers, Ran: RanNo}},
+		{"refused there", true, func(*Request) {}, remote, 1, RefusedError{Reason: ReasonOverload, Ran: RanNo}},
+		{"answer lost", true, func(*Request) {}, context.DeadlineExceeded, 1, RefusedError{Reason: ReasonForward, Ran: RanUnknown}},
+	}
+	Convey("Forwarding", t, func() {
+		for _, x := range table {
+			Convey(x.name, virtual(t, func(c C) {
+				s := newSite(1, 1, 1)
+				s.world.Fleet.SetLeaving("a-w000", x.leaving)
+				a := &away{err: x.err}
+				r := New(Dependencies{Self: self(0), Fleet: s, View: s, Forwarder: a}, Options{})
+				q := quick("q", 0.1)
+				x.edit(&q)
+				_, err := r.Do(context.Background(), q)
+				c.So(refusal(err), ShouldResemble, x.want)
+				c.So(a.got, ShouldHaveLength, x.sent)
+			}))
+		}
+	})
+}
+
+// TestClaims guards against requests sent without a recorded claim, and
+// against slots held up by a slow table.
+func TestClaims(t *testing.T) {
+	once := func(id string) Request {
+		q := quick(id, 0.1)
+		q.Idempotent = false
+		return q
+	}
+	Convey("A request that is not idempotent", t, func() {
+		Convey("is refused while claims are away", virtual(t, func(c C) {
+			s := newSite(1, 1, 1)
+			s.claims.err = &platform.UnavailableError{Service: "table"}
+			_, err := s.router(0, Options{}).Do(context.Background(), once("q"))
+			c.So(refusal(err), ShouldResemble, RefusedError{Reason: ReasonClaim, Ran: RanNo})
+			c.So(s.sent.Load(), ShouldEqual, 0)
+		}))
+		Convey("is not repeated after an answer", virtual(t, func(c C) {
+			s := newSite(1, 1, 1)
+			r := s.router(0, Options{})
+			_, err := r.Do(context.Background(), once("q"))
+			c.So(err, ShouldBeNil)
+			_, err = r.Do(context.Background(), once("q"))
+			c.So(refusal(err), ShouldResemble, RefusedError{Reason: ReasonDuplicate, Ran: RanUnknown})
+		}))
+		Convey("may be repeated after a refusal that says it has not run", virtual(t, func(c C) {
+			s := newSite(1, 1, 1)
+			r := s.router(0, Options{})
+			r.Refresh()
+			s.world.Fleet.Get("a-w000").SetFaults(memory.Faults{Outage: true})
+			_, err := r.Do(context.Background(), once("q"))
+			c.So(refusal(err).Ran, ShouldEqual, RanNo)
+			s.world.Fleet.Get("a-w000").SetFaults(memory.Faults{})
+			_, err = r.Do(context.Background(), once("q"))
+			c.So(err, ShouldBeNil)
+		}))
+		Convey("holds up no other request when the table is slow", virtual(t, func(c C) {
+			s := newSite(1, 1, 1)
+			s.claims.wait = time.Hour
+			r := s.router(0, Options{})
+			for i := range 20 {
+				go func() { _, _ = r.Do(context.Background(), once(fmt.Sprintf("o%d", i))) }()
+			}
+			synctest.Wait()
+			begin := time.Now()
+			_, err := r.Do(context.Background(), quick("q", 0.1))
+			c.So(err, ShouldBeNil)
+			c.So(time.Since(begin), ShouldEqual, 100*time.Millisecond)
+		}))
+	})
+}
+
+// TestMetrics guards the names that operators' dashboards use.
+func TestMetrics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(1, 1, 1)
+		s.teams = []Team{{Name: "t0"}}
+		set := metrics.NewSet()
+		r := New(Dependencies{Self: self(0), Fleet: s, View: s, Metrics: set}, Options{})
+		_, _ = r.Do(context.Background(), quick("q", 0.1))
+		_, _ = r.Do(context.Background(), Request{})
+		var text strings.Builder
+		set.WritePrometheus(&text)
+		for _, want := range []string{
+			`quote_wait_seconds_count{class="quick",team="t0"} 1`, `quote_service_seconds_count{class="quick",team="t0"} 1`,
+			`quote_total_seconds_count{class="quick",team="t0"} 1`, `quote_refusals_total{reason="invalid",ran="no"} 1`,
+			`quote_attempts_total 1`, `quote_retries_total 0`,
+		} {
+			if !strings.Contains(text.String(), want) {
+				t.Errorf("%s is missing", want)
+			}
+		}
+	})
+}
--- a/scheduler/quote/silence_test.go
+++ b/scheduler/quote/silence_test.go
@@ -22,6 +22,7 @@
 	doubledOnce   int           // requests that are not idempotent, run twice
 	doubled       int
 	replaced      int
+	excess        int // connections beyond the share
 }
 
 func (s silenced) String() string {
@@ -59,6 +60,7 @@
 		drive(s, []doer{router, s.router(1, Options{}), s.router(2, Options{})}, l)
 		r.before, r.after = percentile(before), percentile(after)
 		r.replaced = pool.Status().Replaced
+		r.excess = d.excess
 		r.count(s)
 		stop()
 		pool.Close()
@@ -101,6 +103,9 @@
 			So(on.doubledOnce, ShouldEqual, 0)
 			So(off.doubledOnce, ShouldEqual, 0)
 		})
+		Convey("No worker gets more connections than its share", func() {
+			So(on.excess, ShouldBeLessThanOrEqualTo, 0)
+		})
 		Convey("Without probes p99 does not recover", func() {
 			So(off.after, ShouldBeGreaterThan, off.before*3/2)
 		})
--- a/scheduler/quote/stats.go
+++ b/scheduler/quote/stats.go
@@ -88,6 +88,8 @@
 
 // worker is what the router knows of one worker.
 type worker struct {
+	// name is read without the router's lock; the rest changes under it.
+	name string
 	info platform.WorkerInfo
 	// slots is this instance's share.
 	slots   int
@@ -116,6 +118,7 @@
 
 func newWorker(info platform.WorkerInfo) *worker {
 	return &worker{
+		name:     info.Name,
 		info:     info,
 		slowness: mean{value: 1},
 		pairs:    map[string]*mean{},
@@ -159,7 +162,13 @@
 // completion returns the expected time to completion of a new request.
 func (w *worker) completion(s *speeds, template string, now time.Time) float64 {
 	success := max(1-w.failures, 0.05)
-	return w.service(s, template, now) * w.crowding(now) / success
+	return w.service(s, template, now) * w.crowding(now) * w.optimism() / success
+}
+
+// optimism makes workers with few samples attractive, since a fast one would
+// otherwise stay unknown while a known one of mean speed is free.
+func (w *worker) optimism() float64 {
+	return (w.slowness.count + 0.5) / (w.slowness.count + 1)
 }
 
 // crowding returns how far the worker's slots are overcommitted, at least 1.
--- a/scheduler/quote/status.go
+++ b/scheduler/quote/status.go
@@ -104,7 +104,7 @@
 	var list []WorkerStatus
 	for _, w := range r.picker.workers {
 		list = append(list, WorkerStatus{
-			Name:     w.info.Name,
+			Name:     w.name,
 			Slots:    w.slots,
 			Running:  w.running,
 			Slowness: w.slownessAt(now),
@@ -113,5 +113,6 @@
 			Leaving:  w.isLeaving(now),
 		})
 	}
+	slices.SortFunc(list, func(a, b WorkerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
--- a/scheduler/quote/try.go
+++ b/scheduler/quote/try.go
@@ -106,7 +106,7 @@
 // send makes one attempt on the worker and frees its slot.
 func (c *call) send(ctx context.Context, target *worker, w *waiter) try {
 	r := c.router
-	client, err := r.deps.Fleet.Worker(target.info.Name)
+	client, err := r.deps.Fleet.Worker(target.name)
 	if err != nil {
 		t := try{outcome: outcomeUnsent, err: err}
 		r.learn(target, w, t, 0, nil)
