Do not trust a restarted worker's memory of attempts

A worker that restarted while a request ran answered Revoke with notstarted, so that a request that is not idempotent was sent again and ran twice (TestRestart). Revoke now returns *UnknownError for an attempt that a restarted worker may have forgotten; the in-memory worker does so for its retention. The router bounds requests to one minute, below that retention.

--- a/scheduler/platform/memory/fault.go
+++ b/scheduler/platform/memory/fault.go
@@ -37,6 +37,7 @@
 	errDown        causeError = "worker is down"
 	errConnections causeError = "connection limit reached"
 	errDuplicate   causeError = "attempt was received before"
+	errForgotten   causeError = "worker restarted and may have forgotten the attempt"
 )
 
 // Injector holds the faults of one service in one view.
--- a/scheduler/platform/memory/fleet.go
+++ b/scheduler/platform/memory/fleet.go
@@ -95,6 +95,7 @@
 	w.m.mu.Lock()
 	if w.m.isDown() {
 		w.m.down = make(chan struct{})
+		w.m.restarted = time.Now()
 	}
 	info := w.m.info
 	w.m.mu.Unlock()
--- a/scheduler/platform/memory/machine.go
+++ b/scheduler/platform/memory/machine.go
@@ -20,9 +20,11 @@
 	fenceOff bool
 	leaving  bool
 	down     chan struct{} // closed while the worker is down
-	rand     *rand.Rand
-	saved    *sync.Map // checkpoint name to share
-	journal  *journal
+	// restarted is when the worker last forgot the attempts it had started.
+	restarted time.Time
+	rand      *rand.Rand
+	saved     *sync.Map // checkpoint name to share
+	journal   *journal
 
 	lease    platform.Lease
 	tasks    []*task
--- a/scheduler/platform/memory/quick.go
+++ b/scheduler/platform/memory/quick.go
@@ -115,6 +115,12 @@
 	return a
 }
 
+// forgot tells whether the attempt may have been started before a restart. The
+// retention exceeds the longest deadline, so later attempts are known.
+func (m *machine) forgot(now time.Time, ref platform.RequestRef) bool {
+	return m.attempts[ref] == nil && !m.restarted.IsZero() && now.Sub(m.restarted) < m.conf.Retention
+}
+
 func (m *machine) revoke(now time.Time, ref platform.RequestRef) platform.Outcome {
 	if a := m.attempts[ref]; a != nil {
 		return a.outcome
--- a/scheduler/platform/memory/worker.go
+++ b/scheduler/platform/memory/worker.go
@@ -178,6 +178,9 @@
 // Revoke implements platform.Worker.
 func (w Worker) Revoke(ctx context.Context, ref platform.RequestRef) (platform.Outcome, error) {
 	return ask(ctx, w, true, func(now time.Time) (platform.Outcome, error) {
+		if w.m.forgot(now, ref) {
+			return "", w.failed(true, errForgotten)
+		}
 		return w.m.revoke(now, ref), nil
 	})
 }
--- a/scheduler/platform/platform.go
+++ b/scheduler/platform/platform.go
@@ -97,7 +97,8 @@
 	Run(ctx context.Context, r Request) (Answer, error)
 
 	// Revoke settles the outcome of an attempt of a quick request. After
-	// OutcomeNotStarted the worker never starts that attempt.
+	// OutcomeNotStarted the worker never starts that attempt. A worker that
+	// restarted and may have forgotten the attempt returns *UnknownError.
 	Revoke(ctx context.Context, ref RequestRef) (Outcome, error)
 
 	// Probe answers at once and reports the state of the quick slots.
--- a/scheduler/quote/quote.go
+++ b/scheduler/quote/quote.go
@@ -33,7 +33,8 @@
 	// Class defaults to ClassQuick.
 	Class Class
 	// Deadline is when the answer becomes useless. The context's deadline
-	// applies if it is earlier or if this one is zero.
+	// applies if it is earlier or if this one is zero. No request waits for
+	// more than a minute.
 	Deadline time.Time
 	// Idempotent requests may run more than once.
 	Idempotent bool
--- /dev/null
+++ b/scheduler/quote/restart_test.go
@@ -0,0 +1,37 @@
+package quote
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"daisylug.example/scheduler/platform/memory"
+)
+
+// TestRestart guards against a request that runs twice, or is reported as not
+// run, because its worker restarted and forgot that it had started it.
+func TestRestart(t *testing.T) {
+	Convey("When a worker restarts at once while a request runs", t, virtual(t, func(c C) {
+		s := newSite(2, 1, 1)
+		r := s.router(0, Options{})
+		for range 20 {
+			_, err := r.Do(context.Background(), quick("w", 0.01))
+			c.So(err, ShouldBeNil)
+		}
+		s.world.Fleet.ResetStarts()
+		time.AfterFunc(100*time.Millisecond, func() {
+			for _, w := range s.Workers() {
+				s.world.Fleet.Crash(w.Name)
+				s.world.Fleet.Restart(w.Name)
+			}
+		})
+		q := quick("q", 2)
+		q.Idempotent = false
+		_, err := r.Do(context.Background(), q)
+		c.So(err, ShouldNotBeNil)
+		c.So(refusal(err).Ran, ShouldNotEqual, RanNo)
+		c.So(memory.Doubled(s.world.Fleet.Starts(), false), ShouldBeEmpty)
+	}))
+}
--- a/scheduler/quote/router.go
+++ b/scheduler/quote/router.go
@@ -93,8 +93,9 @@
 	return a, nil
 }
 
-// maxWait bounds a request without a deadline.
-const maxWait = 30 * time.Second
+// maxWait bounds a request. Workers remember attempts for longer, so that a
+// revocation within this time never meets a forgotten one.
+const maxWait = 60 * time.Second
 
 // normalise checks the request and fills in its class and deadline.
 func normalise(ctx context.Context, q Request, now time.Time) (Request, *RefusedError) {
@@ -108,8 +109,8 @@
 	if q.ID == "" {
 		return q, &RefusedError{Reason: ReasonInvalid, Ran: RanNo}
 	}
-	if q.Deadline.IsZero() {
-		q.Deadline = now.Add(maxWait)
+	if longest := now.Add(maxWait); q.Deadline.IsZero() || q.Deadline.After(longest) {
+		q.Deadline = longest
 	}
 	if d, ok := ctx.Deadline(); ok && d.Before(q.Deadline) {
 		q.Deadline = d
