ledger: do not deny a write that was in effect and replaced since

Cause: a requeue whose answer was lost and whose record another instance then claimed was refused as late, with Written "no", although it had been in effect.

A refusal after a lost answer is now *OutcomeError if the row is more than one version beyond the one that the transaction expected.

The package doc counts five row writes for a job instead of four.

--- a/scheduler/ledger/group.go
+++ b/scheduler/ledger/group.go
@@ -64,11 +64,13 @@
 
 	// The fields below are guarded by the group's lock.
 	stage stage
-	// doubt is set when a transaction with this change got no answer.
-	doubt bool
-	value any
-	err   error
-	done  chan struct{}
+	// doubt is set when a transaction with this change got no answer; expected
+	// is the version of the row that the first such transaction expected.
+	doubt    bool
+	expected int64
+	value    any
+	err      error
+	done     chan struct{}
 }
 
 // group commits the changes of many callers in shared transactions.
@@ -354,14 +356,33 @@
 	var send []*change
 	for i, c := range batch {
 		if errs[i] != nil || len(c.step.writes) == 0 {
-			g.settle(c, c.step.value, errs[i])
+			g.settle(c, c.step.value, c.qualify(errs[i]))
 			continue
 		}
+		if c.doubt && c.row.Version == c.expected+1 {
+			c.doubt = false
+		}
 		send = append(send, c)
 	}
 	return send
 }
 
+// qualify turns a refusal into *OutcomeError if the record may have been
+// replaced after the change was in effect: the transaction without answer
+// would have made version expected+1, and the row is beyond that.
+func (c *change) qualify(err error) error {
+	if !c.doubt || c.row.Version <= c.expected+1 {
+		return err
+	}
+	var late *LateError
+	var state *StateError
+	var repeat *RepeatError
+	if errors.As(err, &late) || errors.As(err, &state) || errors.As(err, &repeat) {
+		return &OutcomeError{ID: c.id, Operation: c.operation, Cause: err}
+	}
+	return err
+}
+
 // commit sends the changes in one transaction. Those with a conflict drop out
 // and the others are sent again.
 func (g *group) commit(ctx context.Context, batch []*change) error {
@@ -420,8 +441,9 @@
 		case refused || c.stage == stageSettled:
 		case g.blind:
 			c.operation = uuid.NewString()
-		default:
+		case !c.doubt:
 			c.doubt = true
+			c.expected = c.row.Version
 		}
 	}
 	return err
--- a/scheduler/ledger/group_test.go
+++ b/scheduler/ledger/group_test.go
@@ -269,3 +269,64 @@
 	_, err = l.Finish(ctx, job.Id, 1, Outcome{}, [][]byte{make([]byte, 5000)})
 	return err
 }
+
+// Guards against a refusal that denies a write which was in effect before
+// another operation replaced the record.
+func TestOverwrittenOperationIsNotDenied(t *testing.T) {
+	for _, c := range []struct {
+		lost    memory.Faults
+		written string
+	}{
+		{memory.Faults{LoseNextAfter: 1}, "unknown"},
+		{memory.Faults{LoseNextBefore: 1}, "no"},
+	} {
+		scenario(t, fmt.Sprintf("A requeue with faults %+v is overtaken", c.lost), func(p *memory.Platform) {
+			ctx := context.Background()
+			l, v := on(p)
+			other, _ := on(p)
+			job, _, err := l.Accept(ctx, sample("k"))
+			So(err, ShouldBeNil)
+			_, err = l.Claim(ctx, job.Id, 1, "r", "a")
+			So(err, ShouldBeNil)
+			v.Table.SetFaults(c.lost)
+			late := make(chan error, 1)
+			lossy := &pausing{Table: v.Table, wait: make(chan struct{})}
+			l.group.table = lossy
+			go func() {
+				_, err := l.Requeue(ctx, job.Id, 1, Lost{})
+				late <- err
+			}()
+			time.Sleep(time.Second)
+			if c.written == "no" {
+				_, err = other.Requeue(ctx, job.Id, 1, Lost{})
+				So(err, ShouldBeNil)
+			} else {
+				_, err = other.Claim(ctx, job.Id, 2, "r", "a")
+				So(err, ShouldBeNil)
+			}
+			close(lossy.wait)
+			err = <-late
+			So(err, ShouldNotBeNil)
+			So(Written(err), ShouldEqual, c.written)
+		})
+	}
+}
+
+// pausing holds up reads that follow a transaction.
+type pausing struct {
+	platform.Table
+	wait chan struct{}
+	sent bool
+}
+
+func (p *pausing) Commit(ctx context.Context, t platform.Transaction) error {
+	p.sent = true
+	return p.Table.Commit(ctx, t)
+}
+
+func (p *pausing) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if p.sent {
+		<-p.wait
+	}
+	return p.Table.Read(ctx, keys...)
+}
--- a/scheduler/ledger/history_test.go
+++ b/scheduler/ledger/history_test.go
@@ -21,7 +21,7 @@
 
 // call is one operation of a history.
 type call struct {
-	kind    string // accept, claim, finish, cancel or get
+	kind    string // accept, claim, requeue, finish, cancel or get
 	attempt int32
 	result  string
 }
@@ -53,6 +53,8 @@
 		return record{state: claimedAs, attempt: c.attempt}, r.state == queued && c.attempt == r.attempt+1
 	case "finish":
 		return record{state: done, attempt: r.attempt, result: c.result}, running && c.attempt == r.attempt
+	case "requeue":
+		return record{state: queued, attempt: r.attempt}, running && c.attempt == r.attempt
 	case "cancel":
 		return record{state: cancelled, attempt: r.attempt}, r.state == queued || running || r.state == cancelled
 	default:
@@ -135,6 +137,8 @@
 		_, err = l.Claim(ctx, id, c.attempt, "r", "a")
 	case "finish":
 		_, err = l.Finish(ctx, id, c.attempt, Outcome{}, [][]byte{[]byte(c.result)})
+	case "requeue":
+		_, err = l.Requeue(ctx, id, c.attempt, Lost{})
 	case "cancel":
 		err = l.Cancel(ctx, id)[0].Err
 	default:
@@ -195,8 +199,8 @@
 }
 
 func randomCall(r *rand.Rand, result string) call {
-	kinds := []string{"accept", "accept", "claim", "claim", "claim", "finish", "finish", "cancel", "get", "get"}
-	return call{kind: kinds[r.IntN(len(kinds))], attempt: 1, result: result}
+	kinds := []string{"accept", "accept", "claim", "claim", "claim", "requeue", "requeue", "finish", "cancel", "get", "get"}
+	return call{kind: kinds[r.IntN(len(kinds))], attempt: 1 + int32(r.IntN(2)), result: result}
 }
 
 // Guards against histories of concurrent operations that no order explains:
--- a/scheduler/ledger/ledger.go
+++ b/scheduler/ledger/ledger.go
@@ -7,9 +7,9 @@
 //
 // # Writes
 //
-// A job needs four row writes in three operations: accept (2 rows), claim (1)
-// and finish (2, one of them the deletion of the index row, which is counted
-// with the record). Start, Requeue and Cancel add one operation each. The
+// A job needs five row writes in three operations: accept (the record and the
+// index row), claim (the record) and finish (the record, and the deletion of
+// the index row). Start, Requeue and Cancel add one operation each. The
 // operations of many jobs share transactions; Options bounds the rows of a
 // transaction and the transactions per second.
 //
@@ -21,7 +21,9 @@
 // the same write is sent again, of which at most one can succeed; otherwise
 // the operation is judged anew on the record found. A caller whose context
 // ends first gets *OutcomeError if the write may be in effect and
-// *NotWrittenError if it is not and never will be.
+// *NotWrittenError if it is not and never will be. A refusal is also reported
+// as *OutcomeError if others have replaced the record since, so that it cannot
+// be told whether it held the id.
 //
 // # Retention
 //
