Add bench with open and closed loop and a direct baseline

The JSON error of an unknown outcome named the refusal of a later attempt and said ran: no. It now gives the outermost failure.

--- a/daisylug/console/client.go
+++ b/daisylug/console/client.go
@@ -46,6 +46,8 @@
 	repeatable bool
 	// wait is the time that the instance is asked to wait.
 	wait time.Duration
+	// deadline ends the call, if it is set, in place of the client's timeout.
+	deadline time.Time
 }
 
 func (q call) reads() bool { return q.method == http.MethodGet }
@@ -97,7 +99,11 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+q.wait)
+	deadline := q.deadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(c.timeout + q.wait)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	var failed AttemptsError
 	for i, s := range c.order() {
--- a/daisylug/console/client_test.go
+++ b/daisylug/console/client_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -117,8 +118,8 @@
 // taken for the outcome of the first, which may have been accepted.
 func TestUncertainRefusal(t *testing.T) {
 	servers := serve(t, http.HandlerFunc(cut)) + "," + serve(t, refusal(http.StatusTooManyRequests, typeOverload, ranNo))
-	got := run(t, NewTransport(), "", "--servers", servers, "job", "submit", "--team=a", "--template=b")
-	if got.code != ExitUnknown {
+	got := run(t, NewTransport(), "", "--servers", servers, "-o", "json", "job", "submit", "--team=a", "--template=b")
+	if got.code != ExitUnknown || !strings.Contains(got.err, `"ran": "unknown"`) {
 		t.Errorf("exit code %d, want %d\n%s", got.code, ExitUnknown, got.err)
 	}
 }
--- a/daisylug/console/options.go
+++ b/daisylug/console/options.go
@@ -61,6 +61,7 @@
 	Team     teamCommand     `cmd:"" help:"Show and change teams."`
 	Template templateCommand `cmd:"" help:"Show and change templates."`
 	Status   statusCommand   `cmd:"" help:"Show the status of an instance or of all."`
+	Bench    benchCommand    `cmd:"" help:"Load daisylug and report latencies, goodput and refusals."`
 
 	Completion completionCommand `cmd:"" help:"Print the completion script for a shell."`
 	Manual     manualCommand     `cmd:"" hidden:"" help:"Print the man page."`
--- a/daisylug/console/printer.go
+++ b/daisylug/console/printer.go
@@ -150,16 +150,17 @@
 	_ = writeJSON(w, map[string]any{"error": failureBody(err)})
 }
 
+// failureBody returns the error body for err. Only the outermost failure
+// counts: an unknown outcome may have a refusal of a later attempt as a cause.
 func failureBody(err error) *ServerError {
-	var body *ServerError
-	if errors.As(err, &body) {
-		return body
-	}
 	var f failure
-	if errors.As(err, &f) {
-		return &ServerError{Type: f.kind(), Message: err.Error(), Ran: f.ran()}
+	if !errors.As(err, &f) {
+		return &ServerError{Type: typeInternal, Message: err.Error(), Ran: ranUnknown}
+	}
+	if body, ok := f.(*ServerError); ok {
+		return body
 	}
-	return &ServerError{Type: typeInternal, Message: err.Error(), Ran: ranUnknown}
+	return &ServerError{Type: f.kind(), Message: err.Error(), Ran: f.ran()}
 }
 
 func printable(s string) string {
--- a/daisylug/console/quote.go
+++ b/daisylug/console/quote.go
@@ -67,7 +67,7 @@
 	q := call{method: http.MethodPost, path: "/v1/quotes", body: r}
 	q.repeatable = r.Idempotent != nil && *r.Idempotent
 	if !r.Deadline.IsZero() {
-		q.wait = max(time.Until(r.Deadline)+answerMargin, 0)
+		q.deadline = r.Deadline.Add(answerMargin)
 	}
 	return q
 }
