planner, replay: decisions for a data centre and their measurement

Decide combines the packages: starts in cells, on free workers and as backfill, reclaim of cells, evictions for urgent and overdue work, and drains. A replay of seeded arrivals compares it with FIFO first fit, best fit and priority with naive backfill.

--- a/scheduler/gang/place.go
+++ b/scheduler/gang/place.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/bits"
-	"time"
 )
 
 // Weights sets what a placement prefers. Costs are added after weighting.
@@ -31,9 +30,6 @@
 // Request asks for a placement.
 type Request struct {
 	Shape Shape
-	// Until is when the work is expected to end. Work that ends in time may
-	// use workers held for a waiting gang. Zero means unknown.
-	Until time.Time
 	// Spare restricts the placement to accelerators promised to no team.
 	Spare bool
 }
@@ -100,16 +96,12 @@
 // candidates fills buf with the workers that can hold a member, in order of
 // cost.
 func candidates(r *Rack, req Request, w Weights, buf *[MaxAccelerators]candidate) int {
-	backfill := !req.Until.IsZero() && !req.Until.After(r.drainUntil)
 	n := 0
 	for i := range r.workers {
 		k := &r.workers[i]
 		if k.Down || k.Free < req.Shape.Accelerators {
 			continue
 		}
-		if r.drained.Has(i) && !backfill {
-			continue
-		}
 		borrowed := max(0, req.Shape.Accelerators-max(0, k.Free-k.Guaranteed))
 		if req.Spare && borrowed > 0 {
 			continue
--- a/scheduler/gang/rack.go
+++ b/scheduler/gang/rack.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 )
 
 // Worker is the placement state of one worker.
@@ -30,9 +29,6 @@
 type Rack struct {
 	name    string
 	workers []Worker
-	// drained are the workers held for a waiting gang until drainUntil.
-	drained    Set
-	drainUntil time.Time
 	// widest is the largest number of accelerators on one worker.
 	widest int
 	// counts and room are derived from the workers.
@@ -118,11 +114,9 @@
 	return true
 }
 
-// Drained returns the workers held for a waiting gang and until when.
-func (r Rack) Drained() (Set, time.Time) { return r.drained, r.drainUntil }
-
 // WithUse returns the rack with n more accelerators in use on each worker of s.
-// A negative n frees accelerators.
+// A negative n frees accelerators. Free becomes negative if accelerators that
+// are still in use are set aside.
 func (r Rack) WithUse(s Set, n int) Rack {
 	return r.change(s, func(w *Worker) { w.Free -= n })
 }
@@ -143,15 +137,6 @@
 	return r.change(s, func(w *Worker) { w.Down = down })
 }
 
-// WithDrain returns the rack with the workers in s held for a waiting gang
-// that is expected to start at the given time. Only work that ends before then
-// is placed on them.
-func (r Rack) WithDrain(s Set, until time.Time) Rack {
-	r.drained = s
-	r.drainUntil = until
-	return r
-}
-
 func (r Rack) change(s Set, f func(*Worker)) Rack {
 	r.workers = slices.Clone(r.workers)
 	for ; s != 0; s = s.Rest() {
--- a/scheduler/guarantee/reclaim.go
+++ b/scheduler/guarantee/reclaim.go
@@ -69,11 +69,9 @@
 	if !w.Fixed {
 		return KindBorrowed, nil
 	}
-	kinds := p.Classify(r.Name(), running)
 	for s := w.Workers; s != 0; s = s.Rest() {
-		i := s.First()
-		if p.Spare(r, i)-fixedUse(running, kinds, i) < w.Shape.Accelerators {
-			return "", &AdmissionError{Job: w.Job, Rack: r.Name(), Worker: r.Worker(i).Name, Guaranteed: true}
+		if p.FixedRoom(r, s.First(), running) < w.Shape.Accelerators {
+			return "", &AdmissionError{Job: w.Job, Rack: r.Name(), Worker: r.Worker(s.First()).Name, Guaranteed: true}
 		}
 	}
 	return KindBorrowed, nil
@@ -90,14 +88,17 @@
 	return spare
 }
 
-func fixedUse(running []Work, kinds []Kind, worker int) int {
-	n := 0
+// FixedRoom returns the accelerators of a worker that belong to no cell and are
+// not used by fixed work. More fixed work may use only those.
+func (p Plan) FixedRoom(r gang.Rack, worker int, running []Work) int {
+	room := p.Spare(r, worker)
+	kinds := p.Classify(r.Name(), running)
 	for i, w := range running {
 		if w.Fixed && kinds[i] == KindBorrowed && w.Workers.Has(worker) {
-			n += w.Shape.Accelerators
+			room -= w.Shape.Accelerators
 		}
 	}
-	return n
+	return room
 }
 
 // Reclaim returns the borrowed work to evict so that the cell is free, choosing
@@ -128,6 +129,29 @@
 	return s.chosen, nil
 }
 
+// Verify returns *BlockedError if evicting all borrowed work of the rack does
+// not free all unused cells at once.
+func (p Plan) Verify(r gang.Rack, running []Work) error {
+	kinds, used := p.match(r.Name(), running)
+	for i, w := range running {
+		if kinds[i] != KindGuaranteed {
+			r = r.WithUse(w.Workers, -w.Shape.Accelerators)
+		}
+	}
+	for i, c := range p.racks[r.Name()] {
+		if used[i] {
+			continue
+		}
+		for s := c.Workers; s != 0; s = s.Rest() {
+			if k := r.Worker(s.First()); k.Down || k.Free < c.Shape.Accelerators {
+				return &BlockedError{Cell: c, Worker: k.Name}
+			}
+		}
+		r = r.WithUse(c.Workers, c.Shape.Accelerators)
+	}
+	return nil
+}
+
 func (p Plan) item(w Work, c Cell, used []bool, now time.Time, grace time.Duration) item {
 	lost, saved := w.Lost(now, grace)
 	it := item{Eviction: Eviction{Work: w, Checkpoint: saved, Lost: lost}, cost: lost}
--- a/scheduler/planner/planner.go
+++ b/scheduler/planner/planner.go
@@ -93,17 +93,27 @@
 	Weights gang.Weights
 	// Grace is the time that evicted work has for its checkpoint.
 	Grace time.Duration
-	// Patience is how long a large gang waits before a rack is drained for it.
+	// Patience is how long a job waits before workers are drained for it.
 	Patience time.Duration
-	// Holds is the largest number of racks drained at a time.
-	Holds int
-	// Starts is the largest number of starts in one round.
-	Starts int
+	// Drains is the largest number of jobs for which workers are drained at a
+	// time.
+	Drains int
+	// Starts and Evictions limit the decisions of one round.
+	Starts    int
+	Evictions int
+	// Advantage is how many times the weight of running work a waiting job
+	// needs to have it evicted. Zero disables eviction by weight.
+	Advantage float64
+	// Stint is how long work runs at least before it is evicted by weight.
+	Stint time.Duration
 }
 
 // DefaultOptions returns the options for the given weights.
 func DefaultOptions(w gang.Weights) Options {
-	return Options{Weights: w, Grace: 2 * time.Second, Patience: 10 * time.Minute, Holds: 4, Starts: 256}
+	return Options{
+		Weights: w, Grace: 2 * time.Second, Patience: 10 * time.Minute, Drains: 4,
+		Starts: 256, Evictions: 32, Advantage: 2, Stint: 10 * time.Minute,
+	}
 }
 
 // Planner makes the decisions for one data centre.
@@ -118,15 +128,11 @@
 
 // Decide returns the decisions of one round. The caller carries them out and
 // calls it again when work arrives, ends or is cancelled, when a worker
-// changes, and at least once a second while anything is pending.
+// changes, and at least once a second while anything is pending. A started or
+// refused job must be removed from the queue before the next round.
 func (p *Planner) Decide(in Input) Result {
-	_ = p.options
-	return Result{Holds: in.Holds}
-}
-
-// Refuse returns *queue.RefusedError if the job can never run on the racks
-// under the plan, whatever else runs there.
-func Refuse(j queue.Job, racks []gang.Rack, plan guarantee.Plan, now time.Time) error {
-	_, _, _, _ = j, racks, plan, now
-	return nil
+	r := newRound(p.options, in)
+	r.keepHolds()
+	r.schedule()
+	return r.result
 }
--- a/scheduler/queue/queue.go
+++ b/scheduler/queue/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math/bits"
 	"slices"
 	"strings"
@@ -245,3 +246,28 @@
 	})
 	return ordered
 }
+
+// Shapes iterates over the shapes of the pending jobs. A shape may occur
+// several times.
+func (q *Queue) Shapes() iter.Seq[gang.Shape] {
+	return func(yield func(gang.Shape) bool) {
+		for _, b := range q.order {
+			if b.live > 0 && !yield(b.key.shape) {
+				return
+			}
+		}
+	}
+}
+
+// Jobs returns all pending jobs, in no meaningful order.
+func (q *Queue) Jobs() []Job {
+	jobs := make([]Job, 0, len(q.entries))
+	for _, b := range q.order {
+		for _, e := range b.entries {
+			if !e.removed {
+				jobs = append(jobs, e.job)
+			}
+		}
+	}
+	return jobs
+}
--- a/scheduler/queue/rank.go
+++ b/scheduler/queue/rank.go
@@ -46,6 +46,12 @@
 	return r
 }
 
+// Weight returns the weight of a planned or background job in the order at the
+// given time.
+func Weight(j Job, e *Estimator, now time.Time) float64 {
+	return weightOf(&j, e.Estimate(j), now)
+}
+
 func weightOf(j *Job, est Estimate, now time.Time) float64 {
 	expected := max(shortest, est.Median).Seconds()
 	waited := max(0, now.Sub(j.Accepted).Seconds())
--- /dev/null
+++ b/scheduler/replay/baseline.go
@@ -0,0 +1,142 @@
+package replay
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"daisylug.example/scheduler/gang"
+	"daisylug.example/scheduler/guarantee"
+	"daisylug.example/scheduler/planner"
+	"daisylug.example/scheduler/queue"
+)
+
+// baseline is a plain policy without plan, eviction, estimates or quarantine.
+type baseline struct {
+	// priority orders by class, priority and age instead of age only.
+	priority bool
+	// backfill reserves workers for the first job that does not fit, by declared
+	// run times, and starts others only if they end before.
+	backfill bool
+	// best chooses the workers with the least room left instead of the first.
+	best bool
+}
+
+// Baselines returns the policies to compare with.
+func Baselines() map[string]Policy {
+	return map[string]Policy{
+		"fifo":     baseline{},
+		"bestfit":  baseline{best: true},
+		"backfill": baseline{priority: true, backfill: true},
+	}
+}
+
+// Decide goes through the pending jobs in order and starts those that fit.
+func (b baseline) Decide(in planner.Input) planner.Result {
+	var result planner.Result
+	racks := slices.Clone(in.Racks)
+	full := map[gang.Shape]bool{}
+	reserved, shadow := -1, time.Time{}
+	for _, j := range b.order(in) {
+		if full[j.Shape] && reserved < 0 && !b.backfill {
+			continue
+		}
+		skip := -1
+		if reserved >= 0 && in.Now.Add(j.Declared).After(shadow) {
+			skip = reserved
+		}
+		rack, set, ok := b.place(racks, j, skip)
+		if !ok {
+			full[j.Shape] = true
+			if b.backfill && reserved < 0 {
+				reserved, shadow = reserve(in, racks, j)
+			}
+			continue
+		}
+		racks[rack] = racks[rack].WithUse(set, j.Shape.Accelerators)
+		result.Starts = append(result.Starts, planner.Start{Job: j, Rack: racks[rack].Name(), Workers: racks[rack].Names(set), Kind: guarantee.KindBorrowed})
+	}
+	return result
+}
+
+func (b baseline) order(in planner.Input) []queue.Job {
+	jobs := in.Pending.Jobs()
+	slices.SortFunc(jobs, func(x, y queue.Job) int {
+		byAge := cmp.Or(x.Accepted.Compare(y.Accepted), cmp.Compare(x.ID, y.ID))
+		if !b.priority {
+			return byAge
+		}
+		return cmp.Or(cmp.Compare(x.Class, y.Class), cmp.Compare(y.Priority, x.Priority), byAge)
+	})
+	return jobs
+}
+
+// place returns the first or the best fit outside the rack to skip.
+func (b baseline) place(racks []gang.Rack, j queue.Job, skip int) (int, gang.Set, bool) {
+	best, bestLeft := -1, math.MaxInt
+	var bestSet gang.Set
+	for i, r := range racks {
+		if i == skip {
+			continue
+		}
+		set, left, ok := b.fit(r, j)
+		if ok && left < bestLeft {
+			best, bestLeft, bestSet = i, left, set
+		}
+		if ok && !b.best {
+			break
+		}
+	}
+	return best, bestSet, best >= 0
+}
+
+// fit returns workers of the rack with room and the accelerators left on them
+// and on the rack.
+func (b baseline) fit(r gang.Rack, j queue.Job) (gang.Set, int, bool) {
+	var fitting []int
+	for i := range r.Len() {
+		name := r.Worker(i).Name
+		if r.Worker(i).Free >= j.Shape.Accelerators && !slices.Contains(j.Avoid, name) {
+			fitting = append(fitting, i)
+		}
+	}
+	if len(fitting) < j.Shape.Workers {
+		return 0, 0, false
+	}
+	if b.best {
+		slices.SortStableFunc(fitting, func(x, y int) int { return cmp.Compare(r.Worker(x).Free, r.Worker(y).Free) })
+	}
+	var set gang.Set
+	left := r.Free()
+	for _, i := range fitting[:j.Shape.Workers] {
+		set = set.With(i)
+		left += 64 * (r.Worker(i).Free - j.Shape.Accelerators)
+	}
+	return set, left, true
+}
+
+// reserve returns the rack that is expected to have room for the job first, and
+// when, by the declared run times of the work on it.
+func reserve(in planner.Input, racks []gang.Rack, j queue.Job) (int, time.Time) {
+	best, shadow := -1, time.Time{}
+	for i, r := range racks {
+		at := in.Now
+		ends := slices.Clone(in.Running)
+		ends = slices.DeleteFunc(ends, func(w planner.Running) bool { return w.Rack != r.Name() })
+		slices.SortFunc(ends, func(x, y planner.Running) int { return declaredEnd(x).Compare(declaredEnd(y)) })
+		for _, w := range ends {
+			if holds(r, j.Shape) {
+				break
+			}
+			r = r.WithUse(w.Workers, -w.Shape.Accelerators)
+			at = declaredEnd(w)
+		}
+		if holds(r, j.Shape) && (best < 0 || at.Before(shadow)) {
+			best, shadow = i, at
+		}
+	}
+	return best, shadow
+}
+
+func declaredEnd(w planner.Running) time.Time { return w.Started.Add(w.Request.Declared) }
--- a/scheduler/replay/replay.go
+++ b/scheduler/replay/replay.go
@@ -1,3 +1,16 @@
-// Package replay replays generated arrivals through the decision packages on a
-// virtual clock, for measurement. It has no network and no processes.
 package replay
+
+import "time"
+
+// Run replays a stream on the given number of workers under a policy. The
+// clock measures the computing time of decisions; nil leaves it out.
+func Run(s Stream, workers int, length time.Duration, seed uint64, p Policy, clock func() time.Duration) (Report, error) {
+	if clock == nil {
+		clock = func() time.Duration { return 0 }
+	}
+	e := newEngine(generate(s, workers, length, seed), p, clock)
+	if err := e.run(); err != nil {
+		return Report{}, err
+	}
+	return e.meter.report(e), nil
+}
