trial: give each cluster loopback addresses of its own

A port of 127.0.0.1 that was free when it was chosen could be taken by an outgoing connection before the instance listened on it; one row of eleven failed to start that way. Some jobs now run for 6 s, so that they are running when their owner is killed or paused.

--- a/daisylugd/trial/cluster_test.go
+++ b/daisylugd/trial/cluster_test.go
@@ -6,12 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -68,20 +68,23 @@
 // centres is the data centre of each instance.
 var centres = []string{"a", "a", "a", "b", "b", "c", "c"}
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// clusters counts the clusters of this test process.
+var clusters atomic.Int32
+
+// address returns the loopback address of a cluster's process. Each cluster has
+// loopback addresses of its own, because a port of 127.0.0.1 that was free a
+// moment ago may since have been taken by an outgoing connection.
+func address(cluster int32, process, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 20+os.Getpid()%200, cluster, 1+process, port)
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, platform: freeAddress(t), http: &http.Client{Timeout: 40 * time.Second}}
+	number := clusters.Add(1)
+	c := &cluster{t: t, platform: address(number, 0, 7400), http: &http.Client{Timeout: 40 * time.Second}}
+	t.Cleanup(c.stop)
 	var listed []map[string]any
 	for i, centre := range centres {
-		api, peer := freeAddress(t), freeAddress(t)
+		api, peer := address(number, 1+i, 7410), address(number, 1+i, 7430)
 		r := newRelay(t, c.platform)
 		url := "http://" + r.address()
 		name := fmt.Sprintf("entry-%d", i)
@@ -108,7 +111,6 @@
 	for _, p := range c.instances {
 		c.await("http://" + p.api + "/readyz")
 	}
-	t.Cleanup(c.stop)
 	return c
 }
 
@@ -130,10 +132,11 @@
 // stop ends all processes and, after a failure, prints their logs.
 func (c *cluster) stop() {
 	for _, p := range append(c.instances, c.standin) {
-		if p.cmd != nil {
-			_ = p.cmd.Process.Kill()
-			_ = p.cmd.Wait()
+		if p == nil || p.cmd == nil {
+			continue
 		}
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
 		if c.t.Failed() {
 			content, _ := os.ReadFile(p.log.Name())
 			lines := strings.Split(strings.TrimSpace(string(content)), "\n")
--- a/daisylugd/trial/load_test.go
+++ b/daisylugd/trial/load_test.go
@@ -79,7 +79,7 @@
 	j := &job{key: fmt.Sprintf("job-%d", i), idempotent: i%3 != 0}
 	body := map[string]any{
 		"team": "north", "template": "map", "key": j.key, "idempotent": j.idempotent,
-		"payload": map[string]any{"seconds": 0.2 + 0.1*float64(i%8), "echo": j.key},
+		"payload": map[string]any{"seconds": runTime(i), "echo": j.key},
 	}
 	if i%3 == 0 {
 		body["template"] = "booking"
@@ -102,6 +102,15 @@
 	l.jobs = append(l.jobs, j)
 }
 
+// runTime returns the run time of a job, in seconds at speed 1. Some run long
+// enough to be running when their owner dies or is paused.
+func runTime(i int) float64 {
+	if i%6 == 5 {
+		return 6
+	}
+	return 0.2 + 0.1*float64(i%8)
+}
+
 // submit repeats a submission until it is accepted, and returns the id.
 func (l *load) submit(body map[string]any) string {
 	deadline := time.Now().Add(acceptWait)
