Test silent connections and the order of usage reports

Trial changes to the code showed two gaps in the tests: without CloseIdleConnections after an unanswered call, and without the order of usage reports by time, everything still passed. The silence test now opens two connections; both faults are found now. A test of the connection bound ends its calls before its server, so that it fails instead of waiting.

--- a/scheduler/platform/memory/memory_test.go
+++ b/scheduler/platform/memory/memory_test.go
@@ -148,6 +148,22 @@
 	})
 }
 
+// Guards against a report that waits behind a later one.
+func TestUsageIsOrderedByTime(t *testing.T) {
+	virtual(t, "A task that ends before an older one", func(_ *Platform, w Worker, ctx context.Context) {
+		run1(ctx, w, high, hour)
+		brief := reservation(high, 3)
+		brief.Task.Job = "brief"
+		So(w.Reserve(ctx, brief), ShouldBeNil)
+		So(w.Commit(ctx, high, brief.Task), ShouldBeNil)
+		time.Sleep(12 * time.Second)
+		reports, err := w.Usage(ctx, 0)
+		So(err, ShouldBeNil)
+		So(reports, ShouldHaveLength, 1)
+		So(reports[0].Task, ShouldResemble, brief.Task)
+	})
+}
+
 func (w Worker) startOf(ref platform.TaskRef) time.Time {
 	w.m.mu.Lock()
 	defer w.m.mu.Unlock()
--- a/scheduler/platform/remote/wire_test.go
+++ b/scheduler/platform/remote/wire_test.go
@@ -119,6 +119,7 @@
 		defer server.Close()
 		table := NewTable(server.URL, Options{Connections: 1})
 		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel() // before the server waits for its calls to end
 		var first error
 		var group sync.WaitGroup
 		group.Go(func() { first = table.Commit(ctx, platform.Transaction{}) })
--- a/standin/depot/depot_test.go
+++ b/standin/depot/depot_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
 
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
@@ -123,23 +124,33 @@
 	})
 }
 
-// Guards against a silent connection that new connections suffer from too, and
-// against a client that keeps using it.
+// Guards against a client that takes another silent connection after the first
+// one has cost a call its deadline.
 func TestSilentConnection(t *testing.T) {
 	convey.Convey("After the open connections went silent", t, func() {
 		_, url := start(t)
 		w, err := remote.New(url, remote.Options{}).Fleet.Worker("a-w000")
 		convey.So(err, convey.ShouldBeNil)
-		_, err = w.Run(t.Context(), quick("before"))
-		convey.So(err, convey.ShouldBeNil)
+		var group errgroup.Group
+		for _, id := range []string{"a", "b"} {
+			r := quick(id)
+			r.Payload = memory.Payload{Seconds: 0.2}.Encode() // takes two connections
+			group.Go(func() error {
+				_, err := w.Run(t.Context(), r)
+				return err
+			})
+		}
+		convey.So(group.Wait(), convey.ShouldBeNil)
 		var a changedAnswer
 		post(url+"/control/workers", `{"worker":"a-w000","action":"silence","value":1}`, &a)
-		convey.So(a.Changed, convey.ShouldEqual, 1)
+		convey.So(a.Changed, convey.ShouldEqual, 2)
 		short, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 		defer cancel()
 		_, err = w.Run(short, quick("lost"))
 		convey.So(errors.As(err, new(*platform.UnknownError)), convey.ShouldBeTrue)
-		_, err = w.Run(t.Context(), quick("after"))
+		ctx, stop := context.WithTimeout(t.Context(), patience)
+		defer stop()
+		_, err = w.Run(ctx, quick("after"))
 		convey.So(err, convey.ShouldBeNil)
 	})
 }
