--- a/scheduler/member/group_test.go
+++ b/scheduler/member/group_test.go
@@ -56,6 +56,39 @@
 	})
 }
 
+// Guards against the first instance to settle taking all keys for itself when
+// all start at about the same time, and against an instance that is given keys
+// before it knows the others.
+func TestColdStart(t *testing.T) {
+	in(t, "instances start one after the other", func(t *testing.T) {
+		c := emptyCluster(t)
+		defer c.close()
+		names := []string{"i0", "i1", "i2"}
+		for _, n := range names {
+			c.list(instance(n, "x"))
+		}
+		for _, n := range names {
+			c.start(instance(n, "x"))
+			time.Sleep(30 * time.Millisecond)
+		}
+		for range 400 {
+			time.Sleep(5 * time.Millisecond)
+			for _, g := range c.groups {
+				So(live(g), ShouldBeIn, "", "i0 i1 i2 ")
+			}
+		}
+		So(live(c.groups["i0"]), ShouldNotBeEmpty)
+
+		// One that starts while a listed peer is dead settles after 2 s.
+		c.list(instance("i9", "x"))
+		c.list(instance("i3", "x"))
+		c.start(instance("i3", "x"))
+		joined := until(5*time.Second, func() bool { return live(c.groups["i0"]) == "i0 i1 i2 i3 " })
+		So(joined, ShouldBeBetween, deadAfter-tickInterval, deadAfter+heartbeatInterval)
+		So(live(c.groups["i3"]), ShouldEqual, "i0 i1 i2 i3 ")
+	})
+}
+
 // Guards against trusting the directory over what is heard.
 func TestDirectory(t *testing.T) {
 	for _, c := range []struct {
--- a/scheduler/member/heartbeat.go
+++ b/scheduler/member/heartbeat.go
@@ -197,8 +197,8 @@
 	if p.dead {
 		l.wake()
 	}
-	if h.GetJoining() != p.joining {
-		p.joining = h.GetJoining()
+	if p.joining && !h.GetJoining() {
+		p.joining = false
 		changed = true
 	}
 	if h.GetLeaving() && p.inst.State != platform.StateLeaving {
--- a/scheduler/member/link.go
+++ b/scheduler/member/link.go
@@ -202,6 +202,9 @@
 		// A restarted instance has none of its former values.
 		p.values = map[string][]byte{}
 	}
+	if first := !p.known() || l.incarnation > p.incarnation; first && g.settled() {
+		p.joining = hello.GetSelf().GetJoining()
+	}
 	changed := p.hear(l.incarnation, now)
 	if l.incarnation >= p.incarnation {
 		p.direct = now
--- a/scheduler/member/peer.go
+++ b/scheduler/member/peer.go
@@ -48,7 +48,10 @@
 	direct time.Time
 	dead   bool
 	died   time.Time
-	// joining is set until the peer has found the other instances itself.
+	// joining is set until the peer has found the other instances itself, if
+	// it came after the own instance had settled. Instances that start at the
+	// same time count each other from the first contact on; otherwise the
+	// first one to settle would take all keys.
 	joining bool
 	// relay is the incarnation under which another instance doubts this one.
 	relay  uint64
@@ -138,9 +141,8 @@
 // adopt takes over a peer's description of an instance.
 func (p *peer) adopt(d *schema.Peer) (changed bool) {
 	inst := fromPeer(d)
-	changed = p.inst != inst || p.joining != d.GetJoining()
+	changed = p.inst != inst
 	p.inst = inst
-	p.joining = d.GetJoining()
 	return changed
 }
 
--- a/scheduler/platform/platformtest/worker.go
+++ b/scheduler/platform/platformtest/worker.go
@@ -86,7 +86,12 @@
 	// Guards against commands of a holder that was superseded while paused.
 	{"Commands under a lower generation are denied", func(f *fixture) {
 		w := f.started(long)
-		want := &platform.DeniedError{Worker: first, Generation: newer}
+		// The denial also tells the end of the lease in force; without the
+		// clock's monotonic part it is the same after a transfer.
+		lease := platform.Lease{Generation: newer, Deadline: time.Now().Add(patience).UTC().Round(0)}
+		_, err := w.Claim(f.ctx, lease)
+		shouldBe(err, nil)
+		want := &platform.DeniedError{Worker: first, Generation: newer, Deadline: lease.Deadline}
 		old := reserve(platform.TaskRef{Job: "other"}, long)
 		old.Generation = older
 		_, claimed := w.Claim(f.ctx, platform.Lease{Generation: older})
--- a/scheduler/rack/owner.go
+++ b/scheduler/rack/owner.go
@@ -32,7 +32,9 @@
 	gangs    map[ref]*gang
 	// closed holds the attempts that were settled here. What workers still
 	// hold of them is removed.
-	closed map[ref]time.Time
+	closed map[ref]bool
+	// expiry lists the closed attempts in order of time.
+	expiry []closing
 	run    *running
 	begun  time.Time
 	lost   *platform.DeniedError
@@ -60,7 +62,7 @@
 		ready:    make(chan struct{}),
 		stations: map[string]*station{},
 		gangs:    map[ref]*gang{},
-		closed:   map[ref]time.Time{},
+		closed:   map[ref]bool{},
 	}
 	o.SetWorkers(workers)
 	return o
--- a/scheduler/rack/recover.go
+++ b/scheduler/rack/recover.go
@@ -33,7 +33,7 @@
 
 func (o *Owner) observeTask(st *station, t platform.Task, clock uint64) {
 	r := refOf(t.Reservation.Task)
-	if _, closed := o.closed[r]; closed {
+	if o.closed[r] {
 		o.sweep(st, t)
 		return
 	}
@@ -194,12 +194,17 @@
 	o.spawn(func(ctx context.Context) { o.finish(ctx, g) })
 }
 
+// closing is a settled attempt and the time at which it is forgotten.
+type closing struct {
+	ref
+	forget time.Time
+}
+
 // prune forgets settled attempts that no worker can still hold.
 func (o *Owner) prune() {
-	limit := time.Now().Add(-closedTime)
-	for r, at := range o.closed {
-		if at.Before(limit) {
-			delete(o.closed, r)
-		}
+	now := time.Now()
+	for len(o.expiry) > 0 && o.expiry[0].forget.Before(now) {
+		delete(o.closed, o.expiry[0].ref)
+		o.expiry = o.expiry[1:]
 	}
 }
--- a/scheduler/rack/start.go
+++ b/scheduler/rack/start.go
@@ -72,7 +72,7 @@
 			return nil, nil, &DuplicateError{Job: r.Job, Attempt: g.attempt}
 		}
 	}
-	if _, closed := o.closed[ref{r.Job, r.Attempt}]; closed {
+	if o.closed[ref{r.Job, r.Attempt}] {
 		return nil, nil, &DuplicateError{Job: r.Job, Attempt: r.Attempt}
 	}
 	if worker, err := o.room(r); err != nil {
--- a/scheduler/rack/stop.go
+++ b/scheduler/rack/stop.go
@@ -247,7 +247,8 @@
 // close forgets a gang and lets the workers drop what they keep of it.
 func (o *Owner) close(ctx context.Context, g *gang) {
 	o.mu.Lock()
-	o.closed[g.ref] = time.Now()
+	o.closed[g.ref] = true
+	o.expiry = append(o.expiry, closing{ref: g.ref, forget: time.Now().Add(closedTime)})
 	delete(o.gangs, g.ref)
 	o.mu.Unlock()
 	var wait sync.WaitGroup
