--- a/scheduler/member/frame.go
+++ b/scheduler/member/frame.go
@@ -11,6 +11,10 @@
 // maxMessage bounds the size in bytes of one message between instances.
 const maxMessage = 1 << 20
 
+// maxValue bounds an application value, and the values of one heartbeat unless
+// it is a single one.
+const maxValue = 256 << 10
+
 // writeFrame writes m after its length in a single call of Write, so that a
 // small message takes one packet.
 func writeFrame(w io.Writer, m proto.Message) error {
--- a/scheduler/member/group.go
+++ b/scheduler/member/group.go
@@ -4,6 +4,7 @@
 package member
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"strings"
@@ -282,10 +283,19 @@
 }
 
 // SetValue sets an application value in the own heartbeats to the data
-// centre; nil content deletes it. It is sent when it has changed.
+// centre; nil content deletes it. It is sent when it has changed. Content above
+// 256 KiB is logged as an error and not sent; the former one stays.
 func (g *Group) SetValue(key string, content []byte) {
+	if len(content) > maxValue {
+		g.log.Error(&SizeError{Size: len(content), Limit: maxValue}, "value is not sent", "key", key)
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	v := g.values[key]
+	if v == nil && content == nil || v != nil && v.deleted == (content == nil) && bytes.Equal(v.content, content) {
+		return
+	}
 	g.version++
 	g.values[key] = &value{content: slices.Clone(content), deleted: content == nil, version: g.version}
 }
--- a/scheduler/member/group_test.go
+++ b/scheduler/member/group_test.go
@@ -250,3 +250,35 @@
 		So(until(time.Minute, func() bool { return live(g) == "x0 x1 x2 x3 y0 y1 y2 " }), ShouldBeLessThan, 20*time.Second)
 	})
 }
+
+// Guards against values that are too large for one message and would end every
+// session, and against values that are sent again without a change.
+func TestValues(t *testing.T) {
+	in(t, "values", func(t *testing.T) {
+		c := newCluster(t, 2)
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		a, b := c.groups["i0"], c.groups["i1"]
+		for k := range 6 {
+			a.SetValue(fmt.Sprint(k), make([]byte, maxValue-1))
+		}
+		a.SetValue("large", make([]byte, maxMessage))
+		time.Sleep(6*heartbeatInterval + time.Second)
+		for k := range 6 {
+			v, ok := b.Value("i0", fmt.Sprint(k))
+			So(ok, ShouldBeTrue)
+			So(len(v), ShouldEqual, maxValue-1)
+		}
+		_, ok := b.Value("i0", "large")
+		So(ok, ShouldBeFalse)
+		a.SetValue("0", nil)
+		a.SetValue("1", []byte("x"))
+		time.Sleep(time.Second)
+		_, ok = b.Value("i0", "0")
+		So(ok, ShouldBeFalse)
+
+		before := a.version
+		a.SetValue("1", []byte("x"))
+		So(a.version, ShouldEqual, before)
+	})
+}
--- a/scheduler/member/heartbeat.go
+++ b/scheduler/member/heartbeat.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -92,17 +93,29 @@
 	return all
 }
 
+// composeValues returns the values that the peer does not have yet, oldest
+// first. Those that do not fit go with later heartbeats.
 func (g *Group) composeValues(l *link) []*schema.Value {
 	if l.toldValues == g.version {
 		return nil
 	}
-	var changed []*schema.Value
+	var keys []string
 	for key, v := range g.values {
 		if v.version > l.toldValues {
-			changed = append(changed, &schema.Value{Key: key, Content: v.content, Deleted: v.deleted})
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b string) int { return cmp.Compare(g.values[a].version, g.values[b].version) })
+	var changed []*schema.Value
+	for size, i := 0, 0; i < len(keys); i++ {
+		v := g.values[keys[i]]
+		size += len(keys[i]) + len(v.content)
+		if i > 0 && size > maxValue {
+			return changed
 		}
+		changed = append(changed, &schema.Value{Key: keys[i], Content: v.content, Deleted: v.deleted})
+		l.toldValues = v.version
 	}
-	l.toldValues = g.version
 	return changed
 }
 
--- a/scheduler/rack/harness_test.go
+++ b/scheduler/rack/harness_test.go
@@ -66,6 +66,12 @@
 	g.resume = make(chan struct{})
 }
 
+func (g *gate) unpause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.resume = nil
+}
+
 func (g *gate) shut() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/scheduler/rack/set_test.go
+++ b/scheduler/rack/set_test.go
@@ -35,9 +35,11 @@
 	return s
 }
 
-func (s *sets) start(name string) {
+func (s *sets) start(name string) { s.startWith(name, &desk{open: true}) }
+
+func (s *sets) startWith(name string, sink Sink) {
 	g := &gate{view: s.p.View()}
-	set := NewSet(inst(name), g, &desk{open: true}, member.Owner)
+	set := NewSet(inst(name), g, sink, member.Owner)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
