--- a/scheduler/member/group_test.go
+++ b/scheduler/member/group_test.go
@@ -56,6 +56,39 @@
 	})
 }
 
+// Guards against the first instance to settle taking all keys for itself when
+// all start at about the same time, and against an instance that is given keys
+// before it knows the others.
+func TestColdStart(t *testing.T) {
+	in(t, "instances start one after the other", func(t *testing.T) {
+		c := emptyCluster(t)
+		defer c.close()
+		names := []string{"i0", "i1", "i2"}
+		for _, n := range names {
+			c.list(instance(n, "x"))
+		}
+		for _, n := range names {
+			c.start(instance(n, "x"))
+			time.Sleep(30 * time.Millisecond)
+		}
+		for range 400 {
+			time.Sleep(5 * time.Millisecond)
+			for _, g := range c.groups {
+				So(live(g), ShouldBeIn, "", "i0 i1 i2 ")
+			}
+		}
+		So(live(c.groups["i0"]), ShouldNotBeEmpty)
+
+		// One that starts while a listed peer is dead settles after 2 s.
+		c.list(instance("i9", "x"))
+		c.list(instance("i3", "x"))
+		c.start(instance("i3", "x"))
+		joined := until(5*time.Second, func() bool { return live(c.groups["i0"]) == "i0 i1 i2 i3 " })
+		So(joined, ShouldBeBetween, deadAfter-tickInterval, deadAfter+heartbeatInterval)
+		So(live(c.groups["i3"]), ShouldEqual, "i0 i1 i2 i3 ")
+	})
+}
+
 // Guards against trusting the directory over what is heard.
 func TestDirectory(t *testing.T) {
 	for _, c := range []struct {
@@ -217,3 +250,35 @@
 		So(until(time.Minute, func() bool { return live(g) == "x0 x1 x2 x3 y0 y1 y2 " }), ShouldBeLessThan, 20*time.Second)
 	})
 }
+
+// Guards against values that are too large for one message and would end every
+// session, and against values that are sent again without a change.
+func TestValues(t *testing.T) {
+	in(t, "values", func(t *testing.T) {
+		c := newCluster(t, 2)
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		a, b := c.groups["i0"], c.groups["i1"]
+		for k := range 6 {
+			a.SetValue(fmt.Sprint(k), make([]byte, maxValue-1))
+		}
+		a.SetValue("large", make([]byte, maxMessage))
+		time.Sleep(6*heartbeatInterval + time.Second)
+		for k := range 6 {
+			v, ok := b.Value("i0", fmt.Sprint(k))
+			So(ok, ShouldBeTrue)
+			So(len(v), ShouldEqual, maxValue-1)
+		}
+		_, ok := b.Value("i0", "large")
+		So(ok, ShouldBeFalse)
+		a.SetValue("0", nil)
+		a.SetValue("1", []byte("x"))
+		time.Sleep(time.Second)
+		_, ok = b.Value("i0", "0")
+		So(ok, ShouldBeFalse)
+
+		before := a.version
+		a.SetValue("1", []byte("x"))
+		So(a.version, ShouldEqual, before)
+	})
+}
