ledger, balance: skip the linger of full batches, leave a share of a draw

ledger: a full batch waited 2 ms for more operations. TestBurst now logs its times.

balance: the first data centre that settled drew the whole of a balance smaller than the allowance wanted, and the others refused at second 1 until it returned some. A settlement now draws at most half of what is undrawn; the new test refuses early with a share of 1 and not with one half.

--- a/scheduler/balance/balance.go
+++ b/scheduler/balance/balance.go
@@ -13,8 +13,9 @@
 // number of accelerators in use (at least Team.Floor and 1) and H = L + 2*t,
 // with L = Options.Outage and t the settlement interval: when an outage begins,
 // the latest settlement may be t old and the reports it lacks up to t more.
-// Unused allowance is returned by the same rule. Near the end of the balance
-// all data centres run out at the same time.
+// Unused allowance is returned by the same rule. A settlement draws at most half
+// of what is undrawn. Near the end of the balance all data centres run out at
+// the same time.
 //
 // # Bounds
 //
@@ -130,6 +131,9 @@
 
 	usage usage
 
+	// share is the largest part of the undrawn balance to draw at once.
+	share float64
+
 	// uncounted ignores and leaves out the cursor rows (tests only).
 	uncounted bool
 	// unbounded draws without regard to other data centres (tests only).
@@ -144,6 +148,7 @@
 		kick:    make(chan struct{}, 1),
 		teams:   make(map[string]*team),
 		usage:   usage{workers: make(map[string]*worker)},
+		share:   drawShare,
 	}
 }
 
--- a/scheduler/balance/balance_test.go
+++ b/scheduler/balance/balance_test.go
@@ -354,6 +354,27 @@
 	}
 }
 
+// Guards against the first data centre that settles taking all of a balance
+// that is smaller than the allowance wanted, so that the others refuse; this
+// happens without the limit to a share of what is undrawn.
+func TestFirstDrawLeavesAShare(t *testing.T) {
+	for _, share := range []float64{drawShare, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(fmt.Sprintf("A draw takes up to %v of what is undrawn", share), t, func() {
+				w := newWorld(3, 3*crowd*1200, func(a *Account) { a.share = share })
+				w.run(30 * time.Minute)
+				early := false
+				for _, s := range w.sites {
+					early = early || s.left > w.overspending()
+				}
+				So(early, ShouldEqual, share == 1)
+				So(w.used()-w.prepaid, ShouldBeLessThanOrEqualTo, w.overspending())
+				w.end()
+			})
+		})
+	}
+}
+
 // Guards against an instance that starts without the table refusing all work,
 // and against a transfer from another data centre.
 func TestStartWithoutTable(t *testing.T) {
--- a/scheduler/balance/draw.go
+++ b/scheduler/balance/draw.go
@@ -12,6 +12,10 @@
 	// no write is made for the allowance alone.
 	keepLow  = 0.75
 	keepHigh = 1.25
+
+	// drawShare keeps the first data centre that settles from drawing the whole
+	// of a small balance, so that the others refuse until it returns some.
+	drawShare = 0.5
 )
 
 // demand is what one data centre wants of a balance.
@@ -24,6 +28,8 @@
 	used float64
 	// ahead is the time to hold allowance for, in seconds.
 	ahead float64
+	// share is the largest part of the undrawn balance to take at once.
+	share float64
 }
 
 // wanted returns the allowance to hold beyond the charges: burn for the time
@@ -41,16 +47,19 @@
 }
 
 // drawn returns the allowance to draw, which with those of the other data
-// centres never exceeds the balance.
+// centres never exceeds the balance. Part of what is undrawn is left for data
+// centres that have not settled yet.
 func (d demand) drawn(b *schema.Balance) float64 {
-	limit := d.prepaid
+	undrawn := d.prepaid
 	for _, w := range b.Allowances {
-		if w.Centre != d.centre {
-			limit -= max(w.Drawn, w.Spent)
-		}
+		undrawn -= max(w.Drawn, w.Spent)
+	}
+	w := allowance(b, d.centre)
+	limit := max(w.Drawn, w.Spent) + d.share*max(0, undrawn)
+	if undrawn < 0 {
+		limit += undrawn
 	}
-	spent := allowance(b, d.centre).Spent
-	return max(spent, min(spent+d.wanted(b), limit))
+	return max(w.Spent, min(w.Spent+d.wanted(b), limit))
 }
 
 // due reports whether the allowance is far enough from the wanted one to be
--- a/scheduler/balance/settle.go
+++ b/scheduler/balance/settle.go
@@ -315,6 +315,7 @@
 		burn:    t.burn(),
 		used:    max(0, t.unsettled()-sum),
 		ahead:   a.options.ahead().Seconds(),
+		share:   a.share,
 	}, t.planned
 }
 
--- a/scheduler/ledger/group.go
+++ b/scheduler/ledger/group.go
@@ -246,11 +246,16 @@
 	g.queue = slices.DeleteFunc(g.queue, func(c *change) bool { return c.stage == stageSettled })
 }
 
-// delay returns how long to wait before the next batch is taken.
+// delay returns how long to wait before the next batch is taken. A full batch
+// need not wait for more.
 func (g *group) delay() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(time.Until(g.pause), g.options.Linger)
+	pause := time.Until(g.pause)
+	if len(g.queue) >= g.options.Rows {
+		return pause
+	}
+	return max(pause, g.options.Linger)
 }
 
 // take removes the next batch from the queue: changes of distinct rows that
--- a/scheduler/ledger/group_test.go
+++ b/scheduler/ledger/group_test.go
@@ -71,6 +71,7 @@
 			defer cancel()
 			ids := make([]string, burst)
 			errs := make([]error, burst)
+			began := time.Now()
 			var wg sync.WaitGroup
 			for i := range burst {
 				wg.Go(func() {
@@ -80,6 +81,7 @@
 				})
 			}
 			wg.Wait()
+			accepted := time.Since(began)
 			So(errors.Join(errs...), ShouldBeNil)
 			for i, l := range ledgers {
 				from, to := i*burst/c.instances, (i+1)*burst/c.instances
@@ -91,6 +93,8 @@
 			}
 			wg.Wait()
 			So(errors.Join(errs...), ShouldBeNil)
+			t.Logf("%d instances, faults %+v: accepted in %v, cancelled in %v, at most %d transactions in a second",
+				c.instances, c.faults, accepted, time.Since(began)-accepted, m.peak())
 			So(m.peak(), ShouldBeLessThan, transactionsMax)
 			So(m.rows, ShouldBeLessThanOrEqualTo, DefaultOptions().Rows)
 			p.Table.SetFaults(memory.Faults{})
