--- a/scheduler/balance/balance.go
+++ b/scheduler/balance/balance.go
@@ -121,7 +121,7 @@
 type Account struct {
 	table   platform.Table
 	options Options
-	kick    chan struct{}
+	wakeups chan struct{}
 
 	// settling is held by the settlement under way.
 	settling sync.Mutex
@@ -145,7 +145,7 @@
 	return &Account{
 		table:   table,
 		options: options,
-		kick:    make(chan struct{}, 1),
+		wakeups: make(chan struct{}, 1),
 		teams:   make(map[string]*team),
 		usage:   usage{workers: make(map[string]*worker)},
 		share:   drawShare,
@@ -224,7 +224,7 @@
 // wake causes a settlement soon.
 func (a *Account) wake() {
 	select {
-	case a.kick <- struct{}{}:
+	case a.wakeups <- struct{}{}:
 	default:
 	}
 }
--- a/scheduler/balance/balance_test.go
+++ b/scheduler/balance/balance_test.go
@@ -19,11 +19,11 @@
 )
 
 const (
-	outage   = time.Hour
-	interval = 30 * time.Second
-	lag      = 15 * time.Second // of usage reports, including their interval
-	every    = 10 * time.Second // between reports
-	crowd    = 64               // accelerators in use in each data centre
+	outage       = time.Hour
+	interval     = 30 * time.Second
+	lag          = 15 * time.Second // of usage reports, including their interval
+	every        = 10 * time.Second // between reports
+	accelerators = 64               // accelerators in use in each data centre
 )
 
 // site is one data centre with one worker and the account of its planner.
@@ -42,8 +42,8 @@
 	left    float64
 }
 
-// world is a team's work in several data centres. It needs virtual time.
-type world struct {
+// simulation is a team's work in several data centres. It needs virtual time.
+type simulation struct {
 	p       *memory.Platform
 	options Options
 	prepaid float64
@@ -54,13 +54,13 @@
 	second  []*Account
 }
 
-func newWorld(seed uint64, prepaid float64, edit func(*Account)) *world {
-	w := &world{p: memory.New(memory.Config{Seed: seed}), prepaid: prepaid, edit: edit}
+func newSimulation(seed uint64, prepaid float64, edit func(*Account)) *simulation {
+	w := &simulation{p: memory.New(memory.Config{Seed: seed}), prepaid: prepaid, edit: edit}
 	w.options = DefaultOptions("")
 	w.options.Outage = outage
 	w.options.Interval = interval
 	for _, name := range []string{"a", "b", "c"} {
-		s := &site{name: name, view: w.p.View(), want: crowd}
+		s := &site{name: name, view: w.p.View(), want: accelerators}
 		s.account = w.account(s)
 		w.start(s)
 		w.sites = append(w.sites, s)
@@ -69,7 +69,7 @@
 	return w
 }
 
-func (w *world) account(s *site) *Account {
+func (w *simulation) account(s *site) *Account {
 	o := w.options
 	o.Centre = s.name
 	a := New(s.view.Table, o)
@@ -80,7 +80,7 @@
 	return a
 }
 
-func (w *world) start(s *site) {
+func (w *simulation) start(s *site) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
 	a := s.account
@@ -89,7 +89,7 @@
 
 // replace lets a new instance take over, with the balances of its peers if
 // transfer is set.
-func (w *world) replace(s *site, transfer bool) {
+func (w *simulation) replace(s *site, transfer bool) {
 	s.stop()
 	old := s.account
 	s.account = w.account(s)
@@ -100,7 +100,7 @@
 	w.start(s)
 }
 
-func (w *world) used() float64 {
+func (w *simulation) used() float64 {
 	sum := 0.0
 	for _, s := range w.sites {
 		sum += s.used
@@ -109,7 +109,7 @@
 }
 
 // run lets d pass in steps of a second.
-func (w *world) run(d time.Duration) {
+func (w *simulation) run(d time.Duration) {
 	for range int(d / time.Second) {
 		for i, s := range w.sites {
 			w.step(i, s)
@@ -118,7 +118,7 @@
 	}
 }
 
-func (w *world) step(i int, s *site) {
+func (w *simulation) step(i int, s *site) {
 	now := time.Now()
 	s.running = s.want
 	if s.account.Admit("pumps", 0, now) != nil {
@@ -156,7 +156,7 @@
 	return s.reports[:n]
 }
 
-func (w *world) deliver(s *site, a *Account) {
+func (w *simulation) deliver(s *site, a *Account) {
 	after := a.Cursor("w-" + s.name)
 	visible := s.visible()
 	a.Report("w-"+s.name, after, visible[min(int(after), len(visible)):])
@@ -164,7 +164,7 @@
 
 // end lets all use be reported and charged, and returns the sum of the
 // charges.
-func (w *world) end() float64 {
+func (w *simulation) end() float64 {
 	for _, s := range w.sites {
 		s.view.Table.SetFaults(memory.Faults{})
 		s.want = 0
@@ -181,7 +181,7 @@
 	return sum
 }
 
-func (w *world) record() *schema.Balance {
+func (w *simulation) record() *schema.Balance {
 	rows, _ := w.p.Table.Read(context.Background(), "balance/pumps")
 	b := new(schema.Balance)
 	if len(rows) > 0 {
@@ -190,23 +190,23 @@
 	return b
 }
 
-// overspending is the stated bound for this world, with one step of a second.
-func (w *world) overspending() float64 {
-	return float64(len(w.sites)) * crowd * (lag + 4*interval + time.Second).Seconds()
+// overspending is the stated bound for this simulation, with one step of a second.
+func (w *simulation) overspending() float64 {
+	return float64(len(w.sites)) * accelerators * (lag + 4*interval + time.Second).Seconds()
 }
 
 // refusal is the stated bound on the balance left when a connected data centre
 // refuses: what the others hold, and as the estimates may be off by the same
 // amount as for overspending, that amount.
-func (w *world) refusal() float64 {
-	return float64(len(w.sites)-1)*crowd*(outage+2*interval).Seconds() + w.overspending()
+func (w *simulation) refusal() float64 {
+	return float64(len(w.sites)-1)*accelerators*(outage+2*interval).Seconds() + w.overspending()
 }
 
 // Guards against overspending and early refusal beyond the stated bounds, and
 // against reports that are lost or charged twice:
 // (fault, when it begins and ends, who has it).
 func TestBounds(t *testing.T) {
-	const prepaid = 3 * crowd * 2 * 3600 // lasts 2 hours
+	const prepaid = 3 * accelerators * 2 * 3600 // lasts 2 hours
 	type fault struct {
 		name     string
 		faults   memory.Faults
@@ -241,7 +241,7 @@
 		name := fmt.Sprintf("%s, doubled %v, replaced every %v", c.faults[0].name, c.doubled, c.replace)
 		synctest.Test(t, func(t *testing.T) {
 			Convey(name, t, func() {
-				w := newWorld(3, prepaid, nil)
+				w := newSimulation(3, prepaid, nil)
 				w.doubled = c.doubled
 				for passed := time.Duration(0); passed < 3*time.Hour; passed += time.Minute {
 					for _, f := range c.faults {
@@ -281,12 +281,12 @@
 	for _, growth := range []int{1, 2, 10} {
 		synctest.Test(t, func(t *testing.T) {
 			Convey(fmt.Sprintf("Use grows %d times in the outage", growth), t, func() {
-				w := newWorld(3, 1e9, nil)
+				w := newSimulation(3, 1e9, nil)
 				w.run(10 * time.Minute)
 				cut := time.Now()
 				s := w.sites[0]
 				s.view.Table.SetFaults(memory.Faults{Outage: true})
-				s.want = growth * crowd
+				s.want = growth * accelerators
 				w.run(2 * time.Hour)
 				So(s.refused.Sub(cut), ShouldBeGreaterThanOrEqualTo, outage/time.Duration(growth))
 				So(s.account.Admit("pumps", 1, time.Now()), ShouldHaveSameTypeAs, &ExhaustedError{})
@@ -302,7 +302,7 @@
 // answers are lost; without cursor rows they are.
 func TestChargesCountOnce(t *testing.T) {
 	try := func(seed uint64, period int, f memory.Faults, uncounted bool) float64 {
-		w := newWorld(seed, 1e9, func(a *Account) { a.uncounted = uncounted })
+		w := newSimulation(seed, 1e9, func(a *Account) { a.uncounted = uncounted })
 		w.doubled = true
 		for _, s := range w.sites {
 			s.view.Table.SetFaults(f)
@@ -328,7 +328,7 @@
 		})
 	})
 	synctest.Test(t, func(t *testing.T) {
-		if wrong := try(1, 20, memory.Faults{}, true); wrong < crowd {
+		if wrong := try(1, 20, memory.Faults{}, true); wrong < accelerators {
 			t.Errorf("without cursor rows charges were off by only %v", wrong)
 		}
 	})
@@ -340,7 +340,7 @@
 	for _, off := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			Convey(fmt.Sprintf("All data centres are cut off near the end, limit off: %v", off), t, func() {
-				w := newWorld(3, 3*crowd*1200, func(a *Account) { a.unbounded = off })
+				w := newSimulation(3, 3*accelerators*1200, func(a *Account) { a.unbounded = off })
 				w.run(2 * time.Minute)
 				for _, s := range w.sites {
 					s.view.Table.SetFaults(memory.Faults{Outage: true})
@@ -361,7 +361,7 @@
 	for _, share := range []float64{drawShare, 1} {
 		synctest.Test(t, func(t *testing.T) {
 			Convey(fmt.Sprintf("A draw takes up to %v of what is undrawn", share), t, func() {
-				w := newWorld(3, 3*crowd*1200, func(a *Account) { a.share = share })
+				w := newSimulation(3, 3*accelerators*1200, func(a *Account) { a.share = share })
 				w.run(30 * time.Minute)
 				early := false
 				for _, s := range w.sites {
@@ -380,7 +380,7 @@
 func TestStartWithoutTable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("An instance starts while the table is down", t, func() {
-			w := newWorld(3, 1e9, nil)
+			w := newSimulation(3, 1e9, nil)
 			w.run(5 * time.Minute)
 			s := w.sites[0]
 			s.view.Table.SetFaults(memory.Faults{Outage: true})
--- a/scheduler/balance/settle.go
+++ b/scheduler/balance/settle.go
@@ -20,8 +20,8 @@
 	pauseFirst = 20 * time.Millisecond
 	pauseMax   = 2 * time.Second
 
-	// kickPause is the least time between settlements that Admit asked for.
-	kickPause = time.Second
+	// wakePause is the least time between settlements that Admit asked for.
+	wakePause = time.Second
 )
 
 // Run settles every interval, and sooner when an allowance runs short, until
@@ -34,13 +34,13 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(kickPause):
+		case <-time.After(wakePause):
 		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-		case <-a.kick:
+		case <-a.wakeups:
 		}
 	}
 }
--- a/scheduler/ledger/group.go
+++ b/scheduler/ledger/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -56,7 +55,7 @@
 	rows int
 	size int
 
-	// The fields below are used by the flight that carries the change.
+	// The fields below are used by the batch that holds the change.
 	// known is set when row needs no reading.
 	known bool
 	row   platform.Row
@@ -78,7 +77,7 @@
 	table   platform.Table
 	options Options
 	limiter *rate.Limiter
-	flights chan struct{}
+	slots   chan struct{}
 
 	mu      sync.Mutex
 	queue   []*change
@@ -104,7 +103,7 @@
 		table:   table,
 		options: options,
 		limiter: rate.NewLimiter(rate.Limit(options.Rate), rateBurst),
-		flights: make(chan struct{}, options.Flights),
+		slots:   make(chan struct{}, options.Parallel),
 		busy:    make(map[string]bool),
 		wake:    make(chan struct{}, 1),
 		pauses:  pauses,
@@ -213,13 +212,13 @@
 		}
 		time.Sleep(g.delay())
 		_ = g.limiter.Wait(context.Background())
-		g.flights <- struct{}{}
+		g.slots <- struct{}{}
 		batch := g.take()
 		if len(batch) == 0 {
-			<-g.flights
+			<-g.slots
 			continue
 		}
-		go g.fly(batch)
+		go g.process(batch)
 	}
 }
 
@@ -282,208 +281,3 @@
 	})
 	return batch
 }
-
-// fly carries out one batch and gives back its flight.
-func (g *group) fly(batch []*change) {
-	ctx, cancel := context.WithTimeout(context.Background(), g.options.Timeout)
-	defer cancel()
-	err := g.read(ctx, batch)
-	if err == nil {
-		err = g.commit(ctx, g.judge(batch))
-	}
-	g.finish(batch, err)
-	<-g.flights
-}
-
-// finish puts unsettled changes back at the head of the queue, and slows down
-// if the table failed.
-func (g *group) finish(batch []*change, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var again []*change
-	for _, c := range batch {
-		delete(g.busy, c.key)
-		if c.stage != stageSettled {
-			c.stage = stageQueued
-			again = append(again, c)
-		}
-	}
-	g.queue = append(again, g.queue...)
-	if err != nil {
-		g.pause = time.Now().Add(g.pauses.NextBackOff())
-	} else {
-		g.pauses.Reset()
-	}
-	g.signal()
-}
-
-// read fetches the rows that the batch needs in one call.
-func (g *group) read(ctx context.Context, batch []*change) error {
-	keys := make([]string, 0, len(batch))
-	for _, c := range batch {
-		if !c.known {
-			keys = append(keys, c.key)
-		}
-	}
-	if len(keys) == 0 {
-		return nil
-	}
-	g.reads.Add(1)
-	rows, err := g.table.Read(ctx, keys...)
-	if err != nil {
-		return err
-	}
-	found := make(map[string]platform.Row, len(rows))
-	for _, row := range rows {
-		found[row.Key] = row
-	}
-	for _, c := range batch {
-		if c.known {
-			continue
-		}
-		c.row = found[c.key]
-		c.row.Key = c.key
-	}
-	return nil
-}
-
-// judge applies each change to its row. It settles those that need no write
-// and returns the others.
-func (g *group) judge(batch []*change) []*change {
-	errs := make([]error, len(batch))
-	for i, c := range batch {
-		c.step, errs[i] = c.apply(c.row, c.operation)
-		// The row is read again unless this attempt settles the change.
-		c.known = false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var send []*change
-	for i, c := range batch {
-		if errs[i] != nil || len(c.step.writes) == 0 {
-			g.settle(c, c.step.value, c.qualify(errs[i]))
-			continue
-		}
-		if c.doubt && c.row.Version == c.expected+1 {
-			c.doubt = false
-		}
-		send = append(send, c)
-	}
-	return send
-}
-
-// qualify turns a refusal into *OutcomeError if the record may have been
-// replaced after the change was in effect: the transaction without answer
-// would have made version expected+1, and the row is beyond that.
-func (c *change) qualify(err error) error {
-	if !c.doubt || c.row.Version <= c.expected+1 {
-		return err
-	}
-	var late *LateError
-	var state *StateError
-	var repeat *RepeatError
-	if errors.As(err, &late) || errors.As(err, &state) || errors.As(err, &repeat) {
-		return &OutcomeError{ID: c.id, Operation: c.operation, Cause: err}
-	}
-	return err
-}
-
-// commit sends the changes in one transaction. Those with a conflict drop out
-// and the others are sent again.
-func (g *group) commit(ctx context.Context, batch []*change) error {
-	for first := true; ; first = false {
-		if !first {
-			_ = g.limiter.Wait(ctx)
-		}
-		batch = g.send(batch)
-		if len(batch) == 0 {
-			return nil
-		}
-		err := g.transact(ctx, batch)
-		var conflict *platform.ConflictError
-		if !errors.As(err, &conflict) {
-			return g.answer(batch, err)
-		}
-		batch = g.without(batch, conflict.Keys)
-	}
-}
-
-// send marks the changes as sent and drops those whose caller has left.
-func (g *group) send(batch []*change) []*change {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var sent []*change
-	for _, c := range batch {
-		if c.stage != stageSettled {
-			c.stage = stageSent
-			sent = append(sent, c)
-		}
-	}
-	return sent
-}
-
-func (g *group) transact(ctx context.Context, batch []*change) error {
-	t := platform.Transaction{Operation: uuid.NewString()}
-	for _, c := range batch {
-		t.Writes = append(t.Writes, c.step.writes...)
-	}
-	g.transactions.Add(1)
-	g.rows.Add(int64(len(t.Writes)))
-	return g.table.Commit(ctx, t)
-}
-
-// answer settles the batch if it was written, and records a doubt if that is
-// not known.
-func (g *group) answer(batch []*change, err error) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var unavailable *platform.UnavailableError
-	refused := errors.As(err, &unavailable)
-	for _, c := range batch {
-		switch {
-		case err == nil:
-			g.settle(c, c.step.value, nil)
-		case refused || c.stage == stageSettled:
-		case g.blind:
-			c.operation = uuid.NewString()
-		case !c.doubt:
-			c.doubt = true
-			c.expected = c.row.Version
-		}
-	}
-	return err
-}
-
-// without drops the changes that write one of keys. All are dropped if none
-// does, so that every row is read again.
-func (g *group) without(batch []*change, keys []string) []*change {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	conflicts := make(map[string]bool, len(keys))
-	for _, key := range keys {
-		conflicts[key] = true
-	}
-	var rest []*change
-	for _, c := range batch {
-		if !c.touches(conflicts) {
-			rest = append(rest, c)
-			continue
-		}
-		if c.stage == stageSent {
-			c.stage = stageReading
-		}
-	}
-	if len(rest) == len(batch) {
-		return nil
-	}
-	return rest
-}
-
-func (c *change) touches(keys map[string]bool) bool {
-	for _, w := range c.step.writes {
-		if keys[w.Key] {
-			return true
-		}
-	}
-	return false
-}
--- a/scheduler/ledger/history_test.go
+++ b/scheduler/ledger/history_test.go
@@ -157,9 +157,9 @@
 	return out
 }
 
-// storm runs random operations of clients on one key through several ledgers
+// randomHistory runs random operations of clients on one key through several ledgers
 // under faults that change. It must run with virtual time.
-func storm(seed uint64, blind bool) *history {
+func randomHistory(seed uint64, blind bool) *history {
 	p := memory.New(memory.Config{Seed: seed})
 	h := &history{}
 	var wg sync.WaitGroup
@@ -210,7 +210,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		synctest.Test(t, func(*testing.T) {
-			if h := storm(seed, false); !porcupine.CheckOperations(model(), h.operations) {
+			if h := randomHistory(seed, false); !porcupine.CheckOperations(model(), h.operations) {
 				rt.Errorf("no order explains the history %+v", h.operations)
 			}
 		})
@@ -223,7 +223,7 @@
 	broken := 0
 	for seed := range uint64(100) {
 		synctest.Test(t, func(*testing.T) {
-			if h := storm(seed, true); !porcupine.CheckOperations(model(), h.operations) {
+			if h := randomHistory(seed, true); !porcupine.CheckOperations(model(), h.operations) {
 				broken++
 			}
 		})
--- a/scheduler/ledger/ledger.go
+++ b/scheduler/ledger/ledger.go
@@ -52,8 +52,8 @@
 	// Linger is how long an operation waits for others to share its
 	// transaction.
 	Linger time.Duration
-	// Flights is the number of transactions under way at a time.
-	Flights int
+	// Parallel is the number of transactions under way at a time.
+	Parallel int
 	// Timeout is when a call to the table is given up.
 	Timeout time.Duration
 	// Operations and Memory (in bytes) bound what waits for the table.
@@ -70,7 +70,7 @@
 		Rows:       128,
 		Bytes:      1 << 20,
 		Linger:     2 * time.Millisecond,
-		Flights:    32,
+		Parallel:   32,
 		Timeout:    15 * time.Second,
 		Operations: 16384,
 		Memory:     64 << 20,
--- a/scheduler/template/bench_test.go
+++ b/scheduler/template/bench_test.go
@@ -45,7 +45,7 @@
 }
 
 func benchTeam(i int) *schema.Team {
-	return crew(fmt.Sprintf("team-%04d", i), func(t *schema.Team) {
+	return newTeam(fmt.Sprintf("team-%04d", i), func(t *schema.Team) {
 		for _, centre := range []string{"helsinki-1", "helsinki-2", "helsinki-3"} {
 			shape := &schema.Shape{Workers: 4, Accelerators: 8}
 			t.Guarantees = append(t.Guarantees, &schema.Guarantee{Centre: centre, Shape: shape, Count: 2})
--- a/scheduler/template/template_test.go
+++ b/scheduler/template/template_test.go
@@ -49,7 +49,7 @@
 	return &schema.Template{Name: name, Class: schema.Class_CLASS_PLANNED, Shape: &schema.Shape{Workers: 1, Accelerators: 1}}
 }
 
-func crew(name string, edits ...func(*schema.Team)) *schema.Team {
+func newTeam(name string, edits ...func(*schema.Team)) *schema.Team {
 	team := &schema.Team{Name: name, Weight: 1}
 	for _, edit := range edits {
 		edit(team)
@@ -63,13 +63,13 @@
 		a, b := create(p.View().Table), create(p.View().Table)
 		_, err := a.PutTemplate(ctx, planned("route"), 0)
 		So(err, ShouldBeNil)
-		v, err := a.PutTeam(ctx, crew("pumps", func(t *schema.Team) { t.Templates = []string{"route"} }), 0)
+		v, err := a.PutTeam(ctx, newTeam("pumps", func(t *schema.Team) { t.Templates = []string{"route"} }), 0)
 		So(err, ShouldBeNil)
 		So(v, ShouldResemble, Versions{Row: 1, Config: 2})
-		v, err = b.PutTeam(ctx, crew("pumps", func(t *schema.Team) { t.Priority = 2 }), 1)
+		v, err = b.PutTeam(ctx, newTeam("pumps", func(t *schema.Team) { t.Priority = 2 }), 1)
 		So(err, ShouldBeNil)
 		So(v, ShouldResemble, Versions{Row: 2, Config: 3})
-		_, err = a.PutTeam(ctx, crew("pumps"), 1)
+		_, err = a.PutTeam(ctx, newTeam("pumps"), 1)
 		var conflict *ConflictError
 		So(errors.As(err, &conflict), ShouldBeTrue)
 		So(conflict.Version, ShouldEqual, 2)
@@ -90,15 +90,15 @@
 	scenario(t, "Unusable fields are named", func(ctx context.Context, p *memory.Platform) {
 		c := create(p.Table)
 		for field, team := range map[string]*schema.Team{
-			"name":                             crew("Not/aName"),
-			"priority":                         crew("t", func(t *schema.Team) { t.Priority = -1 }),
-			"weight":                           crew("t", func(t *schema.Team) { t.Weight = 0 }),
-			"prepaid":                          crew("t", func(t *schema.Team) { t.Prepaid = math.NaN() }),
-			"templates[0]":                     crew("t", func(t *schema.Team) { t.Templates = []string{"none"} }),
-			"guarantees[0].shape.workers":      crew("t", guarantee(9, 8, 1)),
-			"guarantees[0].shape.accelerators": crew("t", guarantee(1, 0, 1)),
-			"guarantees[0].count":              crew("t", guarantee(1, 1, -1)),
-			"guarantees[0].centre": crew("t", func(t *schema.Team) {
+			"name":                             newTeam("Not/aName"),
+			"priority":                         newTeam("t", func(t *schema.Team) { t.Priority = -1 }),
+			"weight":                           newTeam("t", func(t *schema.Team) { t.Weight = 0 }),
+			"prepaid":                          newTeam("t", func(t *schema.Team) { t.Prepaid = math.NaN() }),
+			"templates[0]":                     newTeam("t", func(t *schema.Team) { t.Templates = []string{"none"} }),
+			"guarantees[0].shape.workers":      newTeam("t", guarantee(9, 8, 1)),
+			"guarantees[0].shape.accelerators": newTeam("t", guarantee(1, 0, 1)),
+			"guarantees[0].count":              newTeam("t", guarantee(1, 1, -1)),
+			"guarantees[0].centre": newTeam("t", func(t *schema.Team) {
 				t.Guarantees = []*schema.Guarantee{{Centre: "\xff"}}
 			}),
 		} {
@@ -144,7 +144,7 @@
 		errs := make([]error, 7)
 		for i := range errs {
 			c := New(p.View().Table, fits, DefaultOptions())
-			wg.Go(func() { _, errs[i] = c.PutTeam(ctx, crew(fmt.Sprintf("t%d", i)), 0) })
+			wg.Go(func() { _, errs[i] = c.PutTeam(ctx, newTeam(fmt.Sprintf("t%d", i)), 0) })
 		}
 		wg.Wait()
 		refused := 0
@@ -204,7 +204,7 @@
 			var worst time.Duration
 			for change := range int64(40) {
 				time.Sleep(time.Duration(change) * 97 * time.Millisecond)
-				v, err := operator.PutTeam(ctx, crew("pumps"), change)
+				v, err := operator.PutTeam(ctx, newTeam("pumps"), change)
 				So(err, ShouldBeNil)
 				all[0].Hint(v.Config)
 				began := time.Now()
@@ -268,7 +268,7 @@
 	count := 0
 	var last int64
 	for change := range int64(4 * changesMax) {
-		_, _ = operator.PutTeam(ctx, crew("pumps", func(t *schema.Team) { t.Priority = int32(change) }), change)
+		_, _ = operator.PutTeam(ctx, newTeam("pumps", func(t *schema.Team) { t.Priority = int32(change) }), change)
 		// The reader misses more changes than the row "config" carries, once.
 		if change < changesMax+10 && change > 5 {
 			continue
@@ -314,7 +314,7 @@
 	scenario(t, "An instance restarts while the table is down", func(ctx context.Context, p *memory.Platform) {
 		peer := create(p.View().Table)
 		for change := range int64(3) {
-			_, err := peer.PutTeam(ctx, crew("pumps"), change)
+			_, err := peer.PutTeam(ctx, newTeam("pumps"), change)
 			So(err, ShouldBeNil)
 		}
 		So(peer.Freshness().Confirmed.IsZero(), ShouldBeFalse)
@@ -358,12 +358,12 @@
 			v := p.View()
 			operator := create(v.Table)
 			operator.blind = c.blind
-			_, err := operator.PutTeam(ctx, crew("pumps"), 0)
+			_, err := operator.PutTeam(ctx, newTeam("pumps"), 0)
 			So(err, ShouldBeNil)
 			v.Table.SetFaults(c.faults)
 			limited, cancel := context.WithTimeout(ctx, 30*time.Second)
 			defer cancel()
-			_, err = operator.PutTeam(limited, crew("pumps"), 1)
+			_, err = operator.PutTeam(limited, newTeam("pumps"), 1)
 			So(fmt.Sprintf("%T", err), ShouldEqual, fmt.Sprintf("%T", c.want))
 			So(create(p.Table).Refresh(ctx), ShouldBeNil)
 		})
