Keep the slots of a worker that is listed again

A worker that vanished from the listing and came back started with no running requests, so that more than its slots could be sent to it. It is now kept while requests run on it. Templates beyond the number remembered no longer change a worker's learned speed. Neither fault was seen in a measurement.

--- a/scheduler/quote/pool.go
+++ b/scheduler/quote/pool.go
@@ -142,7 +142,7 @@
 }
 
 // Close closes all idle connections and refuses new ones. Calls in hand end
-// first.
+// first. Run has to have ended.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/scheduler/quote/router.go
+++ b/scheduler/quote/router.go
@@ -217,6 +217,12 @@
 		w.resize(r.share(info, instances), !ok, now)
 		kept = append(kept, w)
 	}
+	for _, w := range known {
+		// Its requests still occupy slots if the worker is listed again.
+		if w.running > 0 {
+			kept = append(kept, w)
+		}
+	}
 	r.picker.workers = kept
 }
 
--- a/scheduler/quote/stats.go
+++ b/scheduler/quote/stats.go
@@ -68,7 +68,8 @@
 	return float64(s.fallback)
 }
 
-// learn records a service time of the template on the worker.
+// learn records a service time of the template on the worker. Templates beyond
+// the bound teach nothing, since their times have no mean to compare with.
 func (s *speeds) learn(w *worker, template string, took time.Duration, now time.Time) {
 	sample := float64(max(took, time.Microsecond))
 	slowness := w.slownessAt(now)
@@ -77,9 +78,10 @@
 		m = &mean{}
 		s.templates[template] = m
 	}
-	if m != nil {
-		m.add(sample / slowness)
+	if m == nil {
+		return
 	}
+	m.add(sample / slowness)
 	w.slowness.value = slowness
 	w.slowness.add(sample / s.base(template))
 	w.sampled = now
