Pass on the signal of a free connection

Two connections returned while two calls were about to wait left one signal for both, and the second call waited until the next return. The one that gets a connection now signals again. Found by reading; no test shows it, since the window between the check and the wait cannot be held open from outside.

--- a/scheduler/quote/host.go
+++ b/scheduler/quote/host.go
@@ -118,6 +118,10 @@
 func (h *host) take(ctx context.Context, fresh bool) (*link, error) {
 	for {
 		l, room := h.grab(fresh)
+		if l != nil || room {
+			// One signal may stand for several free connections.
+			h.signal()
+		}
 		if l != nil {
 			return l, nil
 		}
