Show the nested lists of a status apart and settle every unknown outcome

A change that an instance answers with outcome_unknown is settled by reading, as a lost answer is. TestFaults and TestApply cover both.

--- a/daisylug/console/client_test.go
+++ b/daisylug/console/client_test.go
@@ -89,6 +89,8 @@
 		{"404", refusal(http.StatusNotFound, typeNotFound, ranNo), read, ExitNotFound, 0},
 		{"502 work failed", refusal(http.StatusBadGateway, typeFailed, ranYes), quote, ExitFailed, 0},
 		{"504 deadline while running", refusal(http.StatusGatewayTimeout, "deadline", ranUnknown), quote, ExitUnknown, 0},
+		{"409, ran unknown", refusal(http.StatusConflict, typeConflict, ranUnknown), quote, ExitUnknown, 0},
+		{"503, ran yes", refusal(http.StatusServiceUnavailable, typeUnavailable, ranYes), quote, ExitUnknown, 0},
 		{"500", refusal(http.StatusInternalServerError, typeInternal, ranUnknown), quote, ExitUnknown, 0},
 		{"not daisylug", http.NotFound, read, ExitFault, 0},
 	} {
--- a/daisylug/console/failure.go
+++ b/daisylug/console/failure.go
@@ -139,18 +139,16 @@
 
 func (e *ServerError) exit() int {
 	switch {
+	case e.Type == typeFailed:
+		return ExitFailed
+	case e.Type == typeUnknown || e.Ran != ranNo:
+		return ExitUnknown
 	case e.Type == typeConflict:
 		return ExitConflict
 	case e.Type == typeNotFound:
 		return ExitNotFound
-	case e.Type == typeUnknown || e.Ran == ranUnknown:
-		return ExitUnknown
-	case e.Ran == ranYes:
-		return ExitFailed
-	case e.Ran == ranNo:
-		return ExitRefused
 	default:
-		return ExitFault
+		return ExitRefused
 	}
 }
 
--- a/daisylug/console/job_test.go
+++ b/daisylug/console/job_test.go
@@ -20,7 +20,8 @@
 func TestGolden(t *testing.T) {
 	jobs := `{"jobs":[` + doneJob + `],"next":""}`
 	teams := `{"teams":[{"name":"a","version":3,"templates":["b","c"],"priority":10,"weight":2,"prepaid":1e6,"guarantees":[{"centre":"c1","shape":{"workers":1,"accelerators":8},"count":2}]}]}`
-	status := `{"instance":"i1","centre":"c1","config":{"version":7,"confirmed":"2026-01-02T03:04:05Z","fresh":true},"instances":[{"name":"i1","centre":"c1","state":"live","config":7}],"racks":[{"name":"r1","owner":"i1","generation":4,"free":12,"running":3}],"workers":[],"balances":[{"team":"a","remaining":12.5}],"queue":{"planned":2},"quotes":{"queued":0}}`
+	status := `{"instance":"i1","centre":"c1","config":{"version":7,"confirmed":"2026-01-02T03:04:05Z","fresh":true},"instances":[{"name":"i1","centre":"c1","state":"live","config":7}],"racks":[{"name":"r1","owner":"i1","generation":4,"free":12,"running":3}],"workers":[],"balances":[{"team":"a","remaining":12.5}],"queue":{"planned":2},"quotes":{"queued":0,"workers":[{"name":"w1","slots":8}]}}`
+	all := `{"instances":[` + status + `],"silent":["i2"]}`
 	for _, tt := range []struct {
 		name string
 		body string
@@ -32,6 +33,7 @@
 		{"quote", `{"id":"q","attempt":1,"worker":"w1","content":"ok"}`, []string{"quote", "--team=a", "--template=b"}},
 		{"teams", teams, []string{"team", "list"}},
 		{"status", status, []string{"status"}},
+		{"all", all, []string{"status", "--all"}},
 	} {
 		for _, format := range []string{OutputTable, OutputJSON} {
 			t.Run(tt.name+"/"+format, func(t *testing.T) {
--- a/daisylug/console/resource.go
+++ b/daisylug/console/resource.go
@@ -82,6 +82,8 @@
 	name string
 	// version is the one in force; 0 if there is none yet.
 	version int64
+	// config is the configuration version that was read.
+	config int64
 	// wanted is the whole of what shall be in force.
 	wanted  document
 	changes []change
@@ -96,7 +98,7 @@
 		return nil, err
 	}
 	if err == nil {
-		p.version = current.number("version")
+		p.version, p.config = current.number("version"), current.number("config")
 	}
 	if given := d.number("version"); given > 0 && given != p.version {
 		message := fmt.Sprintf("the file was made from version %d of %s %s", given, r.kind, p.name)
@@ -142,6 +144,7 @@
 func (r resource) change(s *session, p *plan) (outcome, error) {
 	o := outcome{Name: p.name, Result: resultUnchanged, Version: p.version}
 	if p.version > 0 && len(p.changes) == 0 {
+		o.Config = p.config
 		return o, nil
 	}
 	o.Result, o.Changes = resultChanged, p.changes
@@ -171,8 +174,7 @@
 // force, until settleLimit has passed.
 func (r resource) settle(s *session, p *plan, o outcome, err error) (outcome, error) {
 	failed := outcome{Name: p.name, Result: resultFailed}
-	var unknown *UnknownError
-	if !errors.As(err, &unknown) {
+	if exitCode(err) != ExitUnknown {
 		return failed, r.explain(p, err)
 	}
 	for deadline := time.Now().Add(settleLimit); time.Now().Before(deadline); {
@@ -200,7 +202,7 @@
 		conflict := &ServerError{Type: typeConflict, Message: "another change came first", Version: version, Ran: ranNo}
 		return failed, r.explain(p, conflict)
 	}
-	o.Version = version
+	o.Version, o.Config = version, current.number("config")
 	return o, nil
 }
 
--- a/daisylug/console/resource_test.go
+++ b/daisylug/console/resource_test.go
@@ -44,6 +44,10 @@
 			ExitConflict, []string{"a failed - -", "b not tried", "version 8 is in force"}, 8},
 		{"an accepted change being reported as failed when the answer is lost", twoTeams,
 			func(c *catalogue) { c.after = lost }, ExitOK, []string{"a changed 8 -", "b created 1 6"}, 8},
+		{"an accepted change being reported as failed when the instance does not know its outcome", twoTeams,
+			func(c *catalogue) {
+				c.after = func(w http.ResponseWriter) { refusal(http.StatusBadGateway, typeUnknown, ranUnknown)(w, nil) }
+			}, ExitOK, []string{"a changed 8 -", "b created 1 6"}, 8},
 		{"a lost answer being taken for success when another change followed", twoTeams,
 			func(c *catalogue) {
 				c.after = func(w http.ResponseWriter) {
--- a/daisylug/console/status.go
+++ b/daisylug/console/status.go
@@ -1,6 +1,10 @@
 package console
 
-import "net/url"
+import (
+	"maps"
+	"net/url"
+	"slices"
+)
 
 // statusSections are the lists of an instance's status with their columns.
 var statusSections = []struct {
@@ -33,7 +37,7 @@
 	}
 	return s.printer.print(d, func(t *table) {
 		if c.All {
-			drawAll(t, d.list("instances"))
+			drawAll(t, d)
 			return
 		}
 		drawStatus(t, d)
@@ -45,32 +49,64 @@
 	for _, section := range statusSections {
 		top = top.without(section.name)
 	}
+	top, nested := split(top)
 	t.fields(top, "instance", "centre", "config", "queue", "quotes")
 	for _, section := range statusSections {
-		rows := d.list(section.name)
-		if len(rows) == 0 {
+		drawSection(t, section.name, d.list(section.name), section.columns...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(nested)) {
+		drawSection(t, name, nested.list(name), "name")
+	}
+}
+
+func drawSection(t *table, name string, rows []document, columns ...string) {
+	if len(rows) == 0 {
+		return
+	}
+	t.gap()
+	t.row(name)
+	t.grid(rows, columns...)
+}
+
+// split moves lists within the objects of d, which are too long for one line,
+// to a document of their own.
+func split(d document) (short, lists document) {
+	short, lists = document{}, document{}
+	for name, value := range d {
+		short[name] = value
+		fields, ok := value.(map[string]any)
+		if !ok {
 			continue
 		}
-		t.gap()
-		t.row(section.name)
-		t.grid(rows, section.columns...)
+		rest := document(fields)
+		for field, one := range fields {
+			if values, ok := one.([]any); ok {
+				lists[name+" "+field] = values
+				rest = rest.without(field)
+			}
+		}
+		short[name] = map[string]any(rest)
 	}
+	return short, lists
 }
 
-// drawAll adds one line for each instance.
-func drawAll(t *table, answers []document) {
-	rows := make([]document, len(answers))
-	for i, one := range answers {
+var allColumns = []string{"instance", "centre", "ready", "draining", "planner", "config", "confirmed", "fresh", "queue"}
+
+// drawAll adds one line for each instance, and the names of those that did not
+// answer.
+func drawAll(t *table, d document) {
+	var rows []document
+	for _, one := range d.list("instances") {
 		config := one.object("config")
-		rows[i] = document{
-			"instance":  one["instance"],
-			"centre":    one["centre"],
+		rows = append(rows, one.with(document{
 			"config":    config["version"],
 			"confirmed": config["confirmed"],
 			"fresh":     config["fresh"],
-			"queue":     one["queue"],
-			"quotes":    one["quotes"],
-		}
+		}))
+	}
+	t.grid(rowsOf(rows, allColumns), allColumns...)
+	if silent := cell(d["silent"]); silent != "-" {
+		t.gap()
+		t.row("silent", silent)
 	}
-	t.grid(rows, "instance", "centre", "config", "confirmed", "fresh", "queue", "quotes")
 }
