dispatch: continue from the attempt that the record holds

With lost answers a claim's outcome can be unknown. The rack owner now settles the record and answers with the attempt and state it found; the planner reads the record again when they are not known.

--- a/daisylugd/dispatch/action.go
+++ b/daisylugd/dispatch/action.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -86,12 +85,13 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, launchWait)
 		defer cancel()
-		s.launched(job, s.caller.launch(ctx, m))
+		launched, err := s.caller.launch(ctx, m)
+		s.launched(job, launched, err)
 	}()
 }
 
 // launched takes note of the answer of the rack owner.
-func (s *scheduler) launched(job *schema.Job, err error) {
+func (s *scheduler) launched(job *schema.Job, m *schema.Launched, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, ok := s.starting[job.Id]
@@ -99,41 +99,54 @@
 		return
 	}
 	defer s.wake()
-	if err == nil {
+	if err == nil && m.Started {
 		st.launched = true
 		st.deadline = time.Now().Add(settleAfter)
 		s.starting[job.Id] = st
-		claimed := cloneJob(job)
-		claimed.State = schema.State_STATE_CLAIMED
-		claimed.Attempt = st.attempt
-		claimed.Rack = st.start.Rack
-		s.records[job.Id] = claimed
-		s.log.V(1).Info(EventLaunch, "job", job.Id, "team", job.Team, "rack", st.start.Rack, "attempt", st.attempt)
+		s.records[job.Id] = claimedJob(job, m.Attempt, st.start.Rack)
+		s.log.V(1).Info(EventLaunch, "job", job.Id, "team", job.Team, "rack", st.start.Rack, "attempt", m.Attempt)
 		return
 	}
-	s.log.Info(EventRetry, "what", "start", "job", job.Id, "team", job.Team, "rack", st.start.Rack, "err", err)
 	delete(s.starting, job.Id)
-	var unstarted *UnstartedError
-	if errors.As(err, &unstarted) {
-		s.requeueLocked(job, unstarted)
-		return
-	}
-	// The outcome is not known here. The record decides: the scan finds the
-	// job queued again, or reconcile finds it claimed and on no worker.
 	delete(s.records, job.Id)
+	s.log.V(1).Info(EventRetry, "what", "start", "job", job.Id, "team", job.Team, "rack", st.start.Rack, "reason", m.GetReason(), "err", err)
+	switch {
+	case err != nil || m.Stale:
+		go s.reread(job.Id)
+	case !m.Gone:
+		again := cloneJob(job)
+		again.Attempt = m.Attempt
+		again.State = schema.State_STATE_QUEUED
+		s.records[job.Id] = again
+		s.enqueue(again)
+	}
+}
+
+func claimedJob(job *schema.Job, attempt int32, rack string) *schema.Job {
+	c := cloneJob(job)
+	c.State = schema.State_STATE_CLAIMED
+	c.Attempt = attempt
+	c.Rack = rack
+	return c
 }
 
-// requeueLocked puts back a job whose start did not happen.
-func (s *scheduler) requeueLocked(job *schema.Job, reason *UnstartedError) {
-	if reason.Gone {
-		delete(s.records, job.Id)
+// reread takes the record of a job whose state is not known here. If it cannot
+// be read, the scan finds it.
+func (s *scheduler) reread(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordWait)
+	defer cancel()
+	job, err := s.ledger.Get(ctx, id)
+	if err != nil {
+		s.log.V(1).Info(EventRetry, "what", "record of a job", "job", id, "err", err)
 		return
 	}
-	again := cloneJob(job)
-	again.Attempt = reason.Attempt
-	again.State = schema.State_STATE_QUEUED
-	s.records[job.Id] = again
-	s.enqueue(again)
+	if ended(job.State) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adopt(job)
+	s.wake()
 }
 
 // preempt asks the rack owner to checkpoint and stop gangs.
--- a/daisylugd/dispatch/event.go
+++ b/daisylugd/dispatch/event.go
@@ -59,19 +59,3 @@
 
 // Kind names the error to the calling instance.
 func (e *RoleError) Kind() string { return "role" }
-
-// UnstartedError reports an attempt that did not start and never will.
-type UnstartedError struct {
-	// Attempt is the number of the latest attempt that is used up.
-	Attempt int32
-	// Gone is set when the job is not waiting any more, for example because it
-	// was cancelled.
-	Gone  bool
-	Cause error
-}
-
-func (e *UnstartedError) Error() string {
-	return fmt.Sprintf("attempt %d did not start: %v", e.Attempt, e.Cause)
-}
-
-func (e *UnstartedError) Unwrap() error { return e.Cause }
--- a/daisylugd/dispatch/launcher.go
+++ b/daisylugd/dispatch/launcher.go
@@ -50,68 +50,94 @@
 	return owner, nil
 }
 
-// launch claims the next attempt of a job and starts it. The error is
-// *UnstartedError if the attempt did not start and never will.
-func (l *launcher) launch(ctx context.Context, m *schema.Launch) error {
+// launch claims the next attempt of a job and starts it. An error means that
+// the attempt may have run.
+func (l *launcher) launch(ctx context.Context, m *schema.Launch) (*schema.Launched, error) {
 	owner, err := l.own(m.Rack)
 	if err != nil {
-		return &UnstartedError{Attempt: m.Job.Attempt, Cause: err}
+		return &schema.Launched{Attempt: m.Job.Attempt, Reason: err.Error()}, nil
 	}
 	attempt := m.Job.Attempt + 1
-	if err := l.claim(ctx, m, attempt); err != nil {
-		return err
+	if refused := l.claim(ctx, m, attempt); refused != nil {
+		return refused, nil
 	}
 	err = owner.Start(ctx, gangRequest(m, attempt))
 	if err == nil {
 		go l.recordStart(m.Job, attempt)
-		return nil
+		return &schema.Launched{Started: true, Attempt: attempt}, nil
 	}
 	if startedNothing(err) {
-		go l.recordUnstarted(m.Job, attempt, err)
-		return &UnstartedError{Attempt: attempt, Cause: err}
+		return l.unstarted(ctx, m.Job, attempt, err), nil
 	}
 	go l.recordLost(m.Job, attempt, err.Error())
-	return err
+	return nil, err
 }
 
-// claim claims an attempt in the table. While the table is away an idempotent
-// job goes on without a claim; its outcome is recorded later.
-func (l *launcher) claim(ctx context.Context, m *schema.Launch, attempt int32) error {
+// claim claims an attempt in the table and returns nil if it may start. While
+// the table is away an idempotent job goes on without a claim; its outcome is
+// recorded later.
+func (l *launcher) claim(ctx context.Context, m *schema.Launch, attempt int32) *schema.Launched {
 	wait := claimWait
 	if !m.Job.Idempotent {
 		wait = launchWait / 2
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	call, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	_, err := l.ledger.Claim(ctx, m.Job.Id, attempt, m.Rack, l.self.DataCentre)
+	_, err := l.ledger.Claim(call, m.Job.Id, attempt, m.Rack, l.self.DataCentre)
 	if err == nil {
 		return nil
 	}
-	if state, ok := refusedState(err); ok {
-		return &UnstartedError{Attempt: m.Job.Attempt, Gone: ended(state), Cause: err}
+	if current, state, ok := refusal(err); ok {
+		return &schema.Launched{Attempt: current, Stale: state != schema.State_STATE_QUEUED, Gone: ended(state), Reason: err.Error()}
 	}
 	if m.Job.Idempotent {
 		l.log.V(1).Info(EventRetry, "what", "claim", "job", m.Job.Id, "err", err)
 		return nil
 	}
 	if ledger.Written(err) == "unknown" {
-		go l.recordUnstarted(m.Job, attempt, err)
-		return &UnstartedError{Attempt: attempt, Cause: err}
+		return l.unstarted(ctx, m.Job, attempt, err)
+	}
+	return &schema.Launched{Attempt: m.Job.Attempt, Reason: err.Error()}
+}
+
+// unstarted gives an attempt back that did not start and never will. If the
+// record cannot be settled in time, the planner has to read it later.
+func (l *launcher) unstarted(ctx context.Context, job *schema.Job, attempt int32, cause error) *schema.Launched {
+	m := &schema.Launched{Attempt: attempt, Reason: cause.Error()}
+	current, state, settled := l.giveBack(ctx, job, attempt, cause)
+	if !settled {
+		m.Stale = true
+		go l.recordUnstarted(job, attempt, cause)
+		return m
+	}
+	m.Attempt = current
+	m.Stale = state != schema.State_STATE_QUEUED
+	m.Gone = ended(state)
+	return m
+}
+
+// giveBack writes once that an attempt did not start, and returns the attempt
+// and state of the record.
+func (l *launcher) giveBack(ctx context.Context, job *schema.Job, attempt int32, cause error) (current int32, state schema.State, settled bool) {
+	record, err := l.ledger.Requeue(ctx, job.Id, attempt, ledger.Unstarted{Reason: cause.Error()})
+	if err == nil {
+		return record.Attempt, record.State, true
 	}
-	return &UnstartedError{Attempt: m.Job.Attempt, Cause: err}
+	return refusal(err)
 }
 
-// refusedState returns the state of a record that does not allow an operation.
-func refusedState(err error) (schema.State, bool) {
+// refusal returns the attempt and state of a record that does not allow an
+// operation.
+func refusal(err error) (current int32, state schema.State, ok bool) {
 	var late *ledger.LateError
 	if errors.As(err, &late) {
-		return late.State, true
+		return late.Current, late.State, true
 	}
-	var state *ledger.StateError
-	if errors.As(err, &state) {
-		return state.State, true
+	var refused *ledger.StateError
+	if errors.As(err, &refused) {
+		return refused.Current, refused.State, true
 	}
-	return 0, false
+	return 0, 0, false
 }
 
 // ended reports whether a job in this state never runs again.
@@ -163,14 +189,14 @@
 	}
 }
 
-// recordUnstarted gives an attempt back that never started. It repeats until
-// the record is settled, because only this instance knows.
+// recordUnstarted repeats giveBack until the record is settled, because only
+// this instance knows that the attempt did not start.
 func (l *launcher) recordUnstarted(job *schema.Job, attempt int32, cause error) {
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), recordWait)
-		_, err := l.ledger.Requeue(ctx, job.Id, attempt, ledger.Unstarted{Reason: cause.Error()})
+		_, _, settled := l.giveBack(ctx, job, attempt, cause)
 		cancel()
-		if _, refused := refusedState(err); err == nil || refused {
+		if settled {
 			return
 		}
 		time.Sleep(time.Second)
@@ -243,7 +269,7 @@
 // record writes an outcome and reports whether the job waits again.
 func (l *launcher) record(ctx context.Context, o rack.Outcome) (again bool, err error) {
 	again, err = l.write(ctx, o)
-	state, refused := refusedState(err)
+	_, state, refused := refusal(err)
 	if !refused {
 		return again, err
 	}
@@ -253,7 +279,7 @@
 	// The attempt was started while the table was away: claim it now. If its
 	// number is taken the outcome belongs to an old attempt.
 	if _, err := l.ledger.Claim(ctx, o.Job, int32(o.Attempt), o.Rack, l.self.DataCentre); err != nil {
-		_, refused := refusedState(err)
+		_, _, refused := refusal(err)
 		if refused {
 			return false, nil
 		}
--- /dev/null
+++ b/daisylugd/dispatch/launcher_test.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"daisylug.example/scheduler/ledger"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/platform/memory"
+	"daisylug.example/scheduler/rack"
+	"daisylug.example/scheduler/schema"
+)
+
+func acceptedJob(t *testing.T, l *ledger.Ledger, idempotent bool) *schema.Job {
+	t.Helper()
+	job, _, err := l.Accept(t.Context(), &schema.Job{
+		Team: "north", Template: "map", Key: "k", Class: schema.Class_CLASS_PLANNED, Centre: "a",
+		Shape: &schema.Shape{Workers: 1, Accelerators: 1}, Idempotent: idempotent,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return job
+}
+
+// Guards against a planner that counts an attempt as used up although its claim
+// never took effect: each later claim was then refused, and the job stayed
+// queued for good.
+func TestClaimWithFaults(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		fault      memory.Faults
+		// starts tells whether the attempt starts; attempt and stale are those
+		// of the refusal.
+		starts  bool
+		attempt int32
+		stale   bool
+	}{
+		{"no fault", false, memory.Faults{}, true, 0, false},
+		{"table down, not idempotent", false, memory.Faults{Outage: true}, false, 0, false},
+		{"table down, idempotent", true, memory.Faults{Outage: true}, true, 0, false},
+		// The read before the write never returns, so nothing was written.
+		{"table silent, not idempotent", false, memory.Faults{Silent: true}, false, 0, false},
+		// The write is under way when the wait ends, and takes effect later.
+		{"table slow, not idempotent", false, memory.Faults{Delay: 3 * time.Second}, false, 0, true},
+		{"one answer lost after the write", false, memory.Faults{LoseNextAfter: 1}, true, 0, false},
+		{"one call lost before the write", false, memory.Faults{LoseNextBefore: 1}, true, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := memory.New(memory.Config{})
+				l := ledger.New(p.Table, p.Objects, ledger.DefaultOptions())
+				job := acceptedJob(t, l, c.idempotent)
+				launcher := newLauncher(platform.Instance{DataCentre: "a"}, l, nil, nil, klog.Background())
+				p.Table.SetFaults(c.fault)
+				ctx, cancel := context.WithTimeout(t.Context(), launchWait)
+				defer cancel()
+				refused := launcher.claim(ctx, &schema.Launch{Job: job, Rack: "a-r00"}, 1)
+				p.Table.SetFaults(memory.Faults{})
+				if (refused == nil) != c.starts {
+					t.Fatalf("refused with %v", refused)
+				}
+				if refused != nil && !refused.Stale && refused.Attempt != c.attempt {
+					t.Errorf("attempt %d counts as used up, want %d", refused.Attempt, c.attempt)
+				}
+				if refused.GetStale() != c.stale {
+					t.Errorf("stale is %v", refused.GetStale())
+				}
+				time.Sleep(2 * recordWait)
+				record, err := l.Get(t.Context(), job.Id)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if refused != nil && record.State != schema.State_STATE_QUEUED {
+					t.Errorf("a refused attempt left the job %v", record.State)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an outcome that is dropped because its attempt was started
+// while the table was away and so was never claimed, and against an old
+// attempt's outcome that replaces a newer one.
+func TestOutcomeOfUnclaimedAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New(memory.Config{})
+		l := ledger.New(p.Table, p.Objects, ledger.DefaultOptions())
+		job := acceptedJob(t, l, true)
+		var told []*schema.Ended
+		launcher := newLauncher(platform.Instance{DataCentre: "a"}, l, nil, func(m *schema.Ended) { told = append(told, m) }, klog.Background())
+		outcome := rack.Outcome{Rack: "a-r00", Job: job.Id, Attempt: 1, Team: "north", Kind: rack.OutcomeDone, Results: [][]byte{[]byte("x")}, Member: -1, Ended: time.Now()}
+		if err := launcher.Outcome(t.Context(), outcome); err != nil {
+			t.Fatal(err)
+		}
+		record, err := l.Get(t.Context(), job.Id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if record.State != schema.State_STATE_DONE || len(told) != 1 {
+			t.Fatalf("job is %v, planner was told %d times", record.State, len(told))
+		}
+		late := outcome
+		late.Kind = rack.OutcomeFailed
+		if err := launcher.Outcome(t.Context(), late); err != nil {
+			t.Fatalf("a late outcome must be acknowledged, got %v", err)
+		}
+		record, _ = l.Get(t.Context(), job.Id)
+		if record.State != schema.State_STATE_DONE {
+			t.Errorf("a late outcome changed the job to %v", record.State)
+		}
+	})
+}
--- a/daisylugd/dispatch/peer.go
+++ b/daisylugd/dispatch/peer.go
@@ -13,21 +13,6 @@
 	"daisylug.example/scheduler/schema"
 )
 
-// Kinds of errors that pass between instances.
-const (
-	kindRole      = "role"
-	kindUnstarted = "unstarted"
-	kindGone      = "gone"
-)
-
-// Kind names the error to the calling instance.
-func (e *UnstartedError) Kind() string {
-	if e.Gone {
-		return kindGone
-	}
-	return kindUnstarted
-}
-
 // handlers registers the calls that other instances may make.
 func (d *Daemon) handlers() {
 	handle(d, MethodOffer, func(_ context.Context, m *schema.Offer) (proto.Message, error) {
@@ -42,7 +27,7 @@
 		return &schema.Empty{}, nil
 	})
 	handle(d, MethodLaunch, func(ctx context.Context, m *schema.Launch) (proto.Message, error) {
-		return &schema.Empty{}, d.launcher.launch(ctx, m)
+		return reply(d.launcher.launch(ctx, m))
 	})
 	handle(d, MethodEvict, func(ctx context.Context, m *schema.Evict) (proto.Message, error) {
 		return reply(d.launcher.evict(ctx, m))
@@ -88,32 +73,16 @@
 }
 
 // launch implements caller.
-func (d *Daemon) launch(ctx context.Context, m *schema.Launch) error {
-	_, err := toRackOwner(ctx, d, m.Rack, MethodLaunch, m, &schema.Empty{}, func() (*schema.Empty, error) {
-		return &schema.Empty{}, d.launcher.launch(ctx, m)
+func (d *Daemon) launch(ctx context.Context, m *schema.Launch) (*schema.Launched, error) {
+	launched, err := toRackOwner(ctx, d, m.Rack, MethodLaunch, m, &schema.Launched{}, func() (*schema.Launched, error) {
+		return d.launcher.launch(ctx, m)
 	})
-	return unstarted(m, err)
-}
-
-// unstarted restores the *UnstartedError of a call to another instance.
-func unstarted(m *schema.Launch, err error) error {
 	var role *RoleError
 	var unsent *member.NotSentError
 	if errors.As(err, &role) || errors.As(err, &unsent) {
-		return &UnstartedError{Attempt: m.Job.Attempt, Cause: err}
-	}
-	var remote *member.RemoteError
-	if !errors.As(err, &remote) {
-		return err
-	}
-	switch remote.Kind {
-	case kindUnstarted:
-		return &UnstartedError{Attempt: m.Job.Attempt, Cause: err}
-	case kindGone:
-		return &UnstartedError{Attempt: m.Job.Attempt, Gone: true, Cause: err}
-	default:
-		return err
+		return &schema.Launched{Attempt: m.Job.Attempt, Reason: err.Error()}, nil
 	}
+	return launched, err
 }
 
 // evict implements caller.
--- a/daisylugd/dispatch/scheduler.go
+++ b/daisylugd/dispatch/scheduler.go
@@ -90,7 +90,7 @@
 
 // caller carries decisions to the rack owners.
 type caller interface {
-	launch(ctx context.Context, m *schema.Launch) error
+	launch(ctx context.Context, m *schema.Launch) (*schema.Launched, error)
 	evict(ctx context.Context, m *schema.Evict) (*schema.Evicted, error)
 	halt(ctx context.Context, m *schema.Halt) error
 }
