--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 # Fails if the formatter or the linter has something to say.
 lint:
-	@for m in $(MODULES); do (cd $$m && $(TOOL)/tools/lint/go.mod golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(TOOL)/tools/lint/go.mod golangci-lint run --allow-parallel-runners --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 # Formats all code.
 format:
--- a/daisylugd/dispatch/backlog.go
+++ b/daisylugd/dispatch/backlog.go
@@ -107,23 +107,18 @@
 	}
 }
 
-// withdraw forgets cancelled jobs and returns those that may be running.
-func (s *scheduler) withdraw(ids []string) []string {
+// withdraw forgets cancelled jobs.
+func (s *scheduler) withdraw(ids []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var running []string
 	for _, id := range ids {
 		s.pending.Remove(id)
 		delete(s.unpaid, id)
-		s.book.Forget(id)
-		if _, busy := s.starting[id]; busy {
-			running = append(running, id)
-		}
 		delete(s.records, id)
+		s.book.Forget(id)
 		s.dropHold(id)
 	}
 	s.wake()
-	return running
 }
 
 func (s *scheduler) dropHold(job string) {
--- a/daisylugd/dispatch/board.go
+++ b/daisylugd/dispatch/board.go
@@ -114,17 +114,6 @@
 	return list
 }
 
-// keep drops racks that are not among names.
-func (b *board) keep(names map[string]bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for name := range b.racks {
-		if !names[name] {
-			delete(b.racks, name)
-		}
-	}
-}
-
 // layout returns the racks of a data centre with all their workers, none in
 // use. Workers that are leaving are down.
 func layout(workers []platform.WorkerInfo, centre string) []gang.Rack {
--- a/daisylugd/dispatch/cancel.go
+++ b/daisylugd/dispatch/cancel.go
@@ -47,16 +47,16 @@
 // selectJobs returns the ids that a cancellation names.
 func (d *Daemon) selectJobs(ctx context.Context, r cancelRequest) ([]string, error) {
 	if len(r.IDs) > cancelIDsMax {
-		return nil, NewFieldFailure("ids", "must have at most 10000 entries")
+		return nil, NewFieldError("ids", "must have at most 10000 entries")
 	}
 	if len(r.IDs) > 0 {
 		if r.Team != "" || r.State != "" || r.Template != "" {
-			return nil, NewFieldFailure("ids", "cannot be combined with a selector")
+			return nil, NewFieldError("ids", "cannot be combined with a selector")
 		}
 		return r.IDs, nil
 	}
 	if r.Team == "" {
-		return nil, NewFieldFailure("team", "is required without ids")
+		return nil, NewFieldError("team", "is required without ids")
 	}
 	state, err := stateOf(r.State)
 	if err != nil {
--- a/daisylugd/dispatch/catalogue.go
+++ b/daisylugd/dispatch/catalogue.go
@@ -72,7 +72,7 @@
 	name := pathName(ctx, "name")
 	t, version := snapshot.Team(name)
 	if t == nil {
-		return NewFailure(FailureNotFound, "team "+name+" not found")
+		return NewCallError(TypeNotFound, "team "+name+" not found")
 	}
 	ctx.Response().Header().Set("ETag", etag(version))
 	return writeJSON(ctx, http.StatusOK, teamOf(t, version, snapshot.Version()))
@@ -110,7 +110,7 @@
 	name := pathName(ctx, "name")
 	t, version := snapshot.Template(name)
 	if t == nil {
-		return NewFailure(FailureNotFound, "template "+name+" not found")
+		return NewCallError(TypeNotFound, "template "+name+" not found")
 	}
 	ctx.Response().Header().Set("ETag", etag(version))
 	return writeJSON(ctx, http.StatusOK, templateBodyOf(t, version, snapshot.Version()))
@@ -143,7 +143,7 @@
 		return 0, err
 	}
 	if name() != pathName(ctx, "name") {
-		return 0, NewFieldFailure("name", "differs from the name in the path")
+		return 0, NewFieldError("name", "differs from the name in the path")
 	}
 	return match(ctx.Request())
 }
@@ -155,15 +155,15 @@
 	var unwritten *template.NotWrittenError
 	switch {
 	case errors.As(err, &field):
-		return NewFieldFailure(field.Field, field.Cause)
+		return NewFieldError(field.Field, field.Cause)
 	case errors.As(err, &conflict):
-		return NewFailure(FailureConflict, conflict.Error()).WithVersion(conflict.Version).WithCause(err)
+		return NewCallError(TypeConflict, conflict.Error()).WithVersion(conflict.Version).WithCause(err)
 	case errors.As(err, &infeasible):
-		return NewFailure(FailureGuarantee, infeasible.Error()).WithCause(err)
+		return NewCallError(TypeGuarantee, infeasible.Error()).WithCause(err)
 	case errors.As(err, &unwritten):
-		return NewFailure(FailureUnavailable, err.Error()).WithCause(err)
+		return NewCallError(TypeUnavailable, err.Error()).WithCause(err)
 	default:
-		return NewFailure(FailureUnknown, err.Error()).WithRan(RanUnknown).WithCause(err)
+		return NewCallError(TypeUnknown, err.Error()).WithRan(RanUnknown).WithCause(err)
 	}
 }
 
@@ -226,7 +226,7 @@
 func (b templateBody) record() (*schema.Template, error) {
 	class, ok := schema.Class_value["CLASS_"+strings.ToUpper(b.Class)]
 	if !ok || class == 0 {
-		return nil, NewFieldFailure("class", "must be quick, planned or background")
+		return nil, NewFieldError("class", "must be quick, planned or background")
 	}
 	t := &schema.Template{
 		Name:       b.Name,
--- a/daisylugd/dispatch/checker.go
+++ b/daisylugd/dispatch/checker.go
@@ -87,8 +87,8 @@
 	return value
 }
 
-func (c *checker) duration(flag, value string, required bool, least, most time.Duration) time.Duration {
-	if !c.given(flag, value, required) {
+func (c *checker) duration(flag, value string, least, most time.Duration) time.Duration {
+	if !c.given(flag, value, true) {
 		return 0
 	}
 	d, err := time.ParseDuration(value)
@@ -102,8 +102,8 @@
 	return d
 }
 
-func (c *checker) count(flag, value string, required bool, least, most int) int {
-	if !c.given(flag, value, required) {
+func (c *checker) count(flag, value string, least, most int) int {
+	if !c.given(flag, value, true) {
 		return 0
 	}
 	n, err := strconv.Atoi(value)
--- a/daisylugd/dispatch/daemon.go
+++ b/daisylugd/dispatch/daemon.go
@@ -86,7 +86,7 @@
 
 // control creates the parts that own racks and decide.
 func (d *Daemon) control() {
-	d.launcher = newLauncher(d.self, d.ledger, d.group, d.notifyEnded, d.log)
+	d.launcher = newLauncher(d.self, d.ledger, d.group, d.notifyEnded, d.metrics, d.log)
 	d.racks = rack.NewSet(d.self, d.services.Fleet, d.launcher, member.Owner, rack.WithLogger(d.log))
 	d.launcher.racks = d.racks
 	weights := gang.Completion()
--- a/daisylugd/dispatch/decoder.go
+++ b/daisylugd/dispatch/decoder.go
@@ -15,7 +15,7 @@
 	limit int64
 }
 
-// decode reads the JSON body of r into v. Its errors are *Failure and name
+// decode reads the JSON body of r into v. Its errors are *CallError and name
 // the field that is wrong.
 func (d decoder) decode(r *http.Request, v any) error {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, d.limit))
@@ -23,7 +23,7 @@
 		return bodyFailure(err)
 	}
 	if !utf8.Valid(body) {
-		return NewFieldFailure("body", "is not valid UTF-8")
+		return NewFieldError("body", "is not valid UTF-8")
 	}
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
@@ -31,33 +31,33 @@
 		return jsonFailure(err)
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return NewFieldFailure("body", "has data after the JSON value")
+		return NewFieldError("body", "has data after the JSON value")
 	}
 	return nil
 }
 
-func bodyFailure(err error) *Failure {
+func bodyFailure(err error) *CallError {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		f := NewFailure(FailureSize, "body is larger than this instance accepts")
+		f := NewCallError(TypeSize, "body is larger than this instance accepts")
 		f.Field = "body"
 		return f
 	}
-	return NewFieldFailure("body", "could not be read").WithCause(err)
+	return NewFieldError("body", "could not be read").WithCause(err)
 }
 
-func jsonFailure(err error) *Failure {
+func jsonFailure(err error) *CallError {
 	var kind *json.UnmarshalTypeError
 	if errors.As(err, &kind) {
 		field := kind.Field
 		if field == "" {
 			field = "body"
 		}
-		return NewFieldFailure(field, "cannot be "+kind.Value)
+		return NewFieldError(field, "cannot be "+kind.Value)
 	}
 	const unknown = "json: unknown field "
 	if name, ok := strings.CutPrefix(err.Error(), unknown); ok {
-		return NewFieldFailure(strings.Trim(name, `"`), "is not a known field")
+		return NewFieldError(strings.Trim(name, `"`), "is not a known field")
 	}
-	return NewFieldFailure("body", "is not valid JSON").WithCause(err)
+	return NewFieldError("body", "is not valid JSON").WithCause(err)
 }
--- a/daisylugd/dispatch/decoder_test.go
+++ b/daisylugd/dispatch/decoder_test.go
@@ -18,16 +18,16 @@
 			name, body, kind, field string
 		}{
 			{"good", `{"team":"a","shape":{"workers":1,"accelerators":2}}`, "", ""},
-			{"unknown field", `{"team":"a","priority":3}`, FailureField, "priority"},
-			{"unknown nested field", `{"shape":{"gpus":1}}`, FailureField, "gpus"},
-			{"wrong type", `{"team":3}`, FailureField, "team"},
-			{"wrong nested type", `{"shape":{"workers":"two"}}`, FailureField, "shape.workers"},
-			{"number out of range", `{"shape":{"workers":99999999999}}`, FailureField, "shape.workers"},
-			{"fraction of a worker", `{"shape":{"workers":1.5}}`, FailureField, "shape.workers"},
-			{"not JSON", `team=a`, FailureField, "body"},
-			{"two values", `{} {}`, FailureField, "body"},
-			{"invalid UTF-8", "{\"team\":\"\xff\"}", FailureField, "body"},
-			{"too large", `{"team":"` + strings.Repeat("a", 2000) + `"}`, FailureSize, "body"},
+			{"unknown field", `{"team":"a","priority":3}`, TypeField, "priority"},
+			{"unknown nested field", `{"shape":{"gpus":1}}`, TypeField, "gpus"},
+			{"wrong type", `{"team":3}`, TypeField, "team"},
+			{"wrong nested type", `{"shape":{"workers":"two"}}`, TypeField, "shape.workers"},
+			{"number out of range", `{"shape":{"workers":99999999999}}`, TypeField, "shape.workers"},
+			{"fraction of a worker", `{"shape":{"workers":1.5}}`, TypeField, "shape.workers"},
+			{"not JSON", `team=a`, TypeField, "body"},
+			{"two values", `{} {}`, TypeField, "body"},
+			{"invalid UTF-8", "{\"team\":\"\xff\"}", TypeField, "body"},
+			{"too large", `{"team":"` + strings.Repeat("a", 2000) + `"}`, TypeSize, "body"},
 		} {
 			Convey(c.name, func() {
 				r := httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(c.body))
@@ -37,7 +37,7 @@
 					So(err, ShouldBeNil)
 					return
 				}
-				var f *Failure
+				var f *CallError
 				So(errors.As(err, &f), ShouldBeTrue)
 				So(f.Type, ShouldEqual, c.kind)
 				So(f.Field, ShouldEqual, c.field)
@@ -51,7 +51,7 @@
 func TestEncodeFailure(t *testing.T) {
 	Convey("An error without a type is reported as unknown", t, func() {
 		w := httptest.NewRecorder()
-		encodeFailure(w, nil, errors.ErrUnsupported)
+		encodeError(w, nil, errors.ErrUnsupported)
 		So(w.Code, ShouldEqual, http.StatusInternalServerError)
 		So(w.Body.String(), ShouldContainSubstring, `"ran":"unknown"`)
 	})
@@ -65,7 +65,7 @@
 		r := httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(body))
 		var v submitRequest
 		err := decoder{limit: 1 << 16}.decode(r, &v)
-		var failure *Failure
+		var failure *CallError
 		if err != nil && !errors.As(err, &failure) {
 			t.Fatalf("error without a type: %v", err)
 		}
--- a/daisylugd/dispatch/job.go
+++ b/daisylugd/dispatch/job.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	if d.draining.Load() {
-		return NewFailure(FailureLeaving, "this instance is shutting down")
+		return NewCallError(TypeLeaving, "this instance is shutting down")
 	}
 	job, err := d.jobOf(r, time.Now())
 	if err != nil {
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	if r.Key == "" || len(r.Key) > keyBytesMax {
-		return nil, NewFieldFailure("key", "must have 1 to 200 bytes")
+		return nil, NewFieldError("key", "must have 1 to 200 bytes")
 	}
 	job := &schema.Job{
 		Team:       r.Team,
@@ -110,14 +110,14 @@
 func (d *Daemon) templateOf(team, name string) (*schema.Template, error) {
 	snapshot := d.catalogue.Snapshot()
 	if team == "" {
-		return nil, NewFieldFailure("team", "is required")
+		return nil, NewFieldError("team", "is required")
 	}
 	if name == "" {
-		return nil, NewFieldFailure("template", "is required")
+		return nil, NewFieldError("template", "is required")
 	}
 	tm, _ := snapshot.Team(team)
 	if tm == nil {
-		return nil, NewFieldFailure("team", "is not known")
+		return nil, NewFieldError("team", "is not known")
 	}
 	for _, one := range tm.Templates {
 		if one != name {
@@ -127,7 +127,7 @@
 			return t, nil
 		}
 	}
-	return nil, NewFieldFailure("template", "is not one of the team's templates")
+	return nil, NewFieldError("template", "is not one of the team's templates")
 }
 
 // applySubmit applies the optional fields of a submission.
@@ -145,11 +145,11 @@
 	case "background":
 		job.Class = schema.Class_CLASS_BACKGROUND
 	default:
-		return NewFieldFailure("class", "must be planned or background")
+		return NewFieldError("class", "must be planned or background")
 	}
 	if r.Deadline != nil {
 		if !r.Deadline.After(now) {
-			return NewFieldFailure("deadline", "has passed")
+			return NewFieldError("deadline", "has passed")
 		}
 		job.Deadline = timestamppb.New(*r.Deadline)
 	}
@@ -157,7 +157,7 @@
 		job.Idempotent = *r.Idempotent
 	}
 	if r.Estimate < 0 || r.Estimate > estimateMax.Seconds() {
-		return NewFieldFailure("estimate", "must be from 0 to 366 days, in seconds")
+		return NewFieldError("estimate", "must be from 0 to 366 days, in seconds")
 	}
 	if r.Estimate > 0 {
 		job.Estimate = r.Estimate
@@ -168,19 +168,19 @@
 // checkShape checks a shape against the sizes of a rack and a template's limit.
 func checkShape(s, limit *schema.Shape) error {
 	if s.GetWorkers() < 1 {
-		return NewFieldFailure("shape.workers", "must be at least 1")
+		return NewFieldError("shape.workers", "must be at least 1")
 	}
 	if s.GetAccelerators() < 1 {
-		return NewFieldFailure("shape.accelerators", "must be at least 1")
+		return NewFieldError("shape.accelerators", "must be at least 1")
 	}
 	if limit != nil && s.Workers > limit.Workers {
-		return NewFieldFailure("shape.workers", "is above the limit of the template")
+		return NewFieldError("shape.workers", "is above the limit of the template")
 	}
 	if limit != nil && s.Accelerators > limit.Accelerators {
-		return NewFieldFailure("shape.accelerators", "is above the limit of the template")
+		return NewFieldError("shape.accelerators", "is above the limit of the template")
 	}
 	if err := shapeOf(s).Validate(); err != nil {
-		return NewFailure(FailureImpossible, err.Error()).WithCause(err)
+		return NewCallError(TypeImpossible, err.Error()).WithCause(err)
 	}
 	return nil
 }
@@ -190,7 +190,7 @@
 func (d *Daemon) place(job *schema.Job, now time.Time) error {
 	listing, ok := d.group.Listing()
 	if !ok {
-		return NewFailure(FailureUnavailable, "the list of workers is not known yet")
+		return NewCallError(TypeUnavailable, "the list of workers is not known yet")
 	}
 	centres := []string{job.Centre}
 	if job.Centre == "" {
@@ -209,12 +209,12 @@
 	}
 	var reason *queue.RefusedError
 	if errors.As(refused, &reason) {
-		return NewFailure(FailureImpossible, reason.Error()).WithCause(reason)
+		return NewCallError(TypeImpossible, reason.Error()).WithCause(reason)
 	}
 	if refused != nil {
 		return refused
 	}
-	return NewFieldFailure("centre", "has no workers")
+	return NewFieldError("centre", "has no workers")
 }
 
 // centresOf returns the data centres with workers, the own one first.
@@ -234,7 +234,7 @@
 func (d *Daemon) canRun(job *schema.Job, centre string, listing platform.Listing, now time.Time) error {
 	racks := layout(listing.Workers, centre)
 	if len(racks) == 0 {
-		return NewFieldFailure("centre", "has no workers")
+		return NewFieldError("centre", "has no workers")
 	}
 	plan := d.plans.get(centre, d.catalogue.Snapshot(), listing)
 	request := queue.Job{
@@ -249,7 +249,7 @@
 // balanceLeft refuses work of a team whose balance is spent.
 func (d *Daemon) balanceLeft(team string) error {
 	if err := d.account.Admit(team, 0, time.Now()); err != nil {
-		return NewFailure(FailureBalance, err.Error()).WithCause(err)
+		return NewCallError(TypeBalance, err.Error()).WithCause(err)
 	}
 	return nil
 }
@@ -257,7 +257,7 @@
 func acceptFailure(err error) error {
 	var content *ledger.ContentError
 	if errors.As(err, &content) {
-		return NewFailure(FailureConflict, content.Error()).WithCause(err)
+		return NewCallError(TypeConflict, content.Error()).WithCause(err)
 	}
 	return storeFailure(err)
 }
@@ -268,13 +268,13 @@
 	var field *ledger.FieldError
 	switch {
 	case errors.As(err, &field):
-		return NewFieldFailure(field.Field, field.Cause)
+		return NewFieldError(field.Field, field.Cause)
 	case errors.As(err, &full):
-		return NewFailure(FailureOverload, err.Error()).WithCause(err)
+		return NewCallError(TypeOverload, err.Error()).WithCause(err)
 	case ledger.Written(err) == "no":
-		return NewFailure(FailureUnavailable, err.Error()).WithCause(err)
+		return NewCallError(TypeUnavailable, err.Error()).WithCause(err)
 	default:
-		return NewFailure(FailureUnknown, err.Error()).WithRan(RanUnknown).WithCause(err)
+		return NewCallError(TypeUnknown, err.Error()).WithRan(RanUnknown).WithCause(err)
 	}
 }
 
@@ -311,7 +311,7 @@
 	}
 	wait, err := time.ParseDuration(text)
 	if err != nil || wait < 0 || wait > waitMax {
-		return 0, NewFieldFailure("wait", "must be a duration from 0s to 60s")
+		return 0, NewFieldError("wait", "must be a duration from 0s to 60s")
 	}
 	return wait, nil
 }
@@ -319,9 +319,9 @@
 func readFailure(err error) error {
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
-		return NewFailure(FailureNotFound, missing.Error()).WithCause(err)
+		return NewCallError(TypeNotFound, missing.Error()).WithCause(err)
 	}
-	return NewFailure(FailureUnavailable, err.Error()).WithCause(err)
+	return NewCallError(TypeUnavailable, err.Error()).WithCause(err)
 }
 
 // listJobs returns a page of jobs.
--- a/daisylugd/dispatch/launcher.go
+++ b/daisylugd/dispatch/launcher.go
@@ -34,11 +34,12 @@
 	ledger *ledger.Ledger
 	group  *member.Group
 	notify func(*schema.Ended)
+	meters *meters
 	log    klog.Logger
 }
 
-func newLauncher(self platform.Instance, l *ledger.Ledger, group *member.Group, notify func(*schema.Ended), log klog.Logger) *launcher {
-	return &launcher{self: self, ledger: l, group: group, notify: notify, log: log}
+func newLauncher(self platform.Instance, l *ledger.Ledger, group *member.Group, notify func(*schema.Ended), m *meters, log klog.Logger) *launcher {
+	return &launcher{self: self, ledger: l, group: group, notify: notify, meters: m, log: log}
 }
 
 // own returns the owner of a rack, or *RoleError.
@@ -63,6 +64,7 @@
 	}
 	err = owner.Start(ctx, gangRequest(m, attempt))
 	if err == nil {
+		l.meters.waited(m.Job.Team, className(m.Job.Class), time.Since(m.Job.Accepted.AsTime()))
 		go l.recordStart(m.Job, attempt)
 		return &schema.Launched{Started: true, Attempt: attempt}, nil
 	}
@@ -262,6 +264,7 @@
 		return err
 	}
 	l.log.V(1).Info(EventFinish, "job", o.Job, "team", o.Team, "rack", o.Rack, "attempt", o.Attempt, "outcome", o.Kind, "again", again)
+	l.meters.ended(o)
 	l.notify(endedMessage(o, again))
 	return nil
 }
--- a/daisylugd/dispatch/launcher_test.go
+++ b/daisylugd/dispatch/launcher_test.go
@@ -56,7 +56,7 @@
 				p := memory.New(memory.Config{})
 				l := ledger.New(p.Table, p.Objects, ledger.DefaultOptions())
 				job := acceptedJob(t, l, c.idempotent)
-				launcher := newLauncher(platform.Instance{DataCentre: "a"}, l, nil, nil, klog.Background())
+				launcher := newLauncher(platform.Instance{DataCentre: "a"}, l, nil, nil, newMeters(), klog.Background())
 				p.Table.SetFaults(c.fault)
 				ctx, cancel := context.WithTimeout(t.Context(), launchWait)
 				defer cancel()
@@ -93,7 +93,7 @@
 		l := ledger.New(p.Table, p.Objects, ledger.DefaultOptions())
 		job := acceptedJob(t, l, true)
 		var told []*schema.Ended
-		launcher := newLauncher(platform.Instance{DataCentre: "a"}, l, nil, func(m *schema.Ended) { told = append(told, m) }, klog.Background())
+		launcher := newLauncher(platform.Instance{DataCentre: "a"}, l, nil, func(m *schema.Ended) { told = append(told, m) }, newMeters(), klog.Background())
 		outcome := rack.Outcome{Rack: "a-r00", Job: job.Id, Attempt: 1, Team: "north", Kind: rack.OutcomeDone, Results: [][]byte{[]byte("x")}, Member: -1, Ended: time.Now()}
 		if err := launcher.Outcome(t.Context(), outcome); err != nil {
 			t.Fatal(err)
--- a/daisylugd/dispatch/options.go
+++ b/daisylugd/dispatch/options.go
@@ -1,3 +1,6 @@
+// Package dispatch is the entry daemon: it serves callers over HTTP, takes part
+// in the group of instances, owns racks and, where it holds the role, plans for
+// its data centre.
 package dispatch
 
 import (
--- a/daisylugd/dispatch/peer.go
+++ b/daisylugd/dispatch/peer.go
@@ -18,7 +18,7 @@
 	handle(d, MethodOffer, func(_ context.Context, m *schema.Offer) (proto.Message, error) {
 		return &schema.Empty{}, d.scheduler.offer(m.Jobs)
 	})
-	handle(d, MethodWithdraw, func(ctx context.Context, m *schema.Withdraw) (proto.Message, error) {
+	handle(d, MethodWithdraw, func(_ context.Context, m *schema.Withdraw) (proto.Message, error) {
 		d.scheduler.withdraw(m.Jobs)
 		return &schema.Empty{}, nil
 	})
--- a/daisylugd/dispatch/quick.go
+++ b/daisylugd/dispatch/quick.go
@@ -66,7 +66,7 @@
 		return quote.Request{}, err
 	}
 	if r.ID == "" || len(r.ID) > keyBytesMax {
-		return quote.Request{}, NewFieldFailure("id", "must have 1 to 200 bytes")
+		return quote.Request{}, NewFieldError("id", "must have 1 to 200 bytes")
 	}
 	q := quote.Request{
 		ID:         r.Team + "/" + r.ID,
@@ -82,14 +82,14 @@
 	case "background":
 		q.Class = quote.ClassBackground
 	default:
-		return quote.Request{}, NewFieldFailure("class", "must be quick or background")
+		return quote.Request{}, NewFieldError("class", "must be quick or background")
 	}
 	if r.Deadline != nil {
 		if !r.Deadline.After(now) {
-			return quote.Request{}, NewFieldFailure("deadline", "has passed")
+			return quote.Request{}, NewFieldError("deadline", "has passed")
 		}
 		if r.Deadline.Sub(now) > quoteDeadlineMax {
-			return quote.Request{}, NewFieldFailure("deadline", "must be within 5 minutes")
+			return quote.Request{}, NewFieldError("deadline", "must be within 5 minutes")
 		}
 		q.Deadline = *r.Deadline
 	}
@@ -105,7 +105,7 @@
 	sum := sha256.Sum256(r.Payload)
 	one, ok := d.claims.begin(q.ID, &schema.Request{Team: r.Team, Template: r.Template, Key: r.ID, Sum: sum[:]})
 	if !ok {
-		return NewFailure(FailureConflict, "a request with this id is in hand").WithRan(RanUnknown)
+		return NewCallError(TypeConflict, "a request with this id is in hand").WithRan(RanUnknown)
 	}
 	defer d.claims.end(q.ID)
 	answer, err := d.router.Do(call, q)
@@ -122,11 +122,11 @@
 func claimFailure(one *claim, err error) error {
 	var content *ledger.ContentError
 	if errors.As(one.err, &content) {
-		return NewFailure(FailureConflict, content.Error()).WithCause(one.err)
+		return NewCallError(TypeConflict, content.Error()).WithCause(one.err)
 	}
 	var claimed *ledger.ClaimedError
 	if errors.As(one.err, &claimed) {
-		return NewFailure(FailureUnknown, claimed.Error()).WithRan(RanUnknown).WithCause(one.err)
+		return NewCallError(TypeUnknown, claimed.Error()).WithRan(RanUnknown).WithCause(one.err)
 	}
 	return err
 }
@@ -146,7 +146,7 @@
 func (d *Daemon) repeatAnswer(ctx khttp.Context, id string, record *schema.Request) error {
 	content, err := d.ledger.Answer(callContext(ctx), record)
 	if err != nil {
-		return NewFailure(FailureUnavailable, err.Error()).WithRan(RanYes).WithCause(err)
+		return NewCallError(TypeUnavailable, err.Error()).WithRan(RanYes).WithCause(err)
 	}
 	return d.writeQuote(ctx, id, quote.Answer{Failed: record.Failed, Content: content}, nil)
 }
@@ -157,7 +157,7 @@
 		return quoteFailure(err)
 	}
 	if answer.Failed {
-		return NewFailure(FailureFailed, "the work failed on worker "+answer.Worker).WithRan(RanYes)
+		return NewCallError(TypeFailed, "the work failed on worker "+answer.Worker).WithRan(RanYes)
 	}
 	return writeJSON(ctx, http.StatusOK, quoteReply{
 		ID:      id,
@@ -173,26 +173,26 @@
 	if !errors.As(err, &refused) {
 		return err
 	}
-	f := NewFailure(quoteFailureType(refused), refused.Error()).WithCause(err)
+	f := NewCallError(quoteFailureType(refused), refused.Error()).WithCause(err)
 	return f.WithRan(Ran(refused.Ran))
 }
 
 func quoteFailureType(refused *quote.RefusedError) string {
 	if refused.Ran != quote.RanNo {
-		return FailureUnknown
+		return TypeUnknown
 	}
 	switch refused.Reason {
 	case quote.ReasonDraining:
-		return FailureLeaving
+		return TypeLeaving
 	case quote.ReasonOverload, quote.ReasonBudget:
-		return FailureOverload
+		return TypeOverload
 	case quote.ReasonDeadline, quote.ReasonCancelled:
-		return FailureDeadline
+		return TypeDeadline
 	case quote.ReasonDuplicate:
-		return FailureConflict
+		return TypeConflict
 	case quote.ReasonInvalid:
-		return FailureField
+		return TypeField
 	default:
-		return FailureUnavailable
+		return TypeUnavailable
 	}
 }
--- a/daisylugd/dispatch/record.go
+++ b/daisylugd/dispatch/record.go
@@ -42,7 +42,7 @@
 	if job.State == schema.State_STATE_DONE {
 		results, err := d.ledger.Results(callContext(ctx), job)
 		if err != nil {
-			return NewFailure(FailureUnavailable, err.Error()).WithRan(RanYes).WithCause(err)
+			return NewCallError(TypeUnavailable, err.Error()).WithRan(RanYes).WithCause(err)
 		}
 		for _, r := range results {
 			body.Results = append(body.Results, string(r))
@@ -96,7 +96,7 @@
 	}
 	s, ok := schema.State_value["STATE_"+strings.ToUpper(name)]
 	if !ok || s == 0 {
-		return 0, NewFieldFailure("state", "is not a state of a job")
+		return 0, NewFieldError("state", "is not a state of a job")
 	}
 	return schema.State(s), nil
 }
--- a/daisylugd/dispatch/server.go
+++ b/daisylugd/dispatch/server.go
@@ -19,7 +19,7 @@
 	srv := khttp.NewServer(
 		khttp.Address(d.settings.API),
 		khttp.Timeout(0),
-		khttp.ErrorEncoder(encodeFailure),
+		khttp.ErrorEncoder(encodeError),
 		khttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(notAllowed)),
 	)
@@ -63,12 +63,12 @@
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
-	encodeFailure(w, r, NewFailure(FailureNotFound, "no such path: "+r.URL.Path))
+	encodeError(w, r, NewCallError(TypeNotFound, "no such path: "+r.URL.Path))
 }
 
 func notAllowed(w http.ResponseWriter, r *http.Request) {
-	f := NewFieldFailure("method", r.Method+" is not allowed on "+r.URL.Path)
-	encodeFailure(w, r, f)
+	f := NewFieldError("method", r.Method+" is not allowed on "+r.URL.Path)
+	encodeError(w, r, f)
 }
 
 func (d *Daemon) writeMetrics(w http.ResponseWriter, _ *http.Request) {
@@ -105,7 +105,7 @@
 	}
 	n, err := strconv.Atoi(text)
 	if err != nil || n < 1 || n > most {
-		return 0, NewFieldFailure(key, "must be a whole number from 1 to "+strconv.Itoa(most))
+		return 0, NewFieldError(key, "must be a whole number from 1 to "+strconv.Itoa(most))
 	}
 	return n, nil
 }
@@ -117,11 +117,11 @@
 	}
 	text := strings.Trim(r.Header.Get("If-Match"), `"`)
 	if text == "" {
-		return 0, NewFieldFailure("If-Match", "is required to change; use If-None-Match: * to create")
+		return 0, NewFieldError("If-Match", "is required to change; use If-None-Match: * to create")
 	}
 	version, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || version < 1 {
-		return 0, NewFieldFailure("If-Match", "must be a version of 1 or more in quotes")
+		return 0, NewFieldError("If-Match", "must be a version of 1 or more in quotes")
 	}
 	return version, nil
 }
--- a/daisylugd/dispatch/status.go
+++ b/daisylugd/dispatch/status.go
@@ -91,7 +91,7 @@
 	case "all":
 		return writeJSON(ctx, http.StatusOK, d.statuses(callContext(ctx)))
 	default:
-		return NewFieldFailure("scope", "must be all or absent")
+		return NewFieldError("scope", "must be all or absent")
 	}
 }
 
--- a/scheduler/platform/directory.go
+++ b/scheduler/platform/directory.go
@@ -31,7 +31,8 @@
 	Region     string `json:"region"`
 	DataCentre string `json:"centre"`
 	Rack       string `json:"rack"`
-	// Address is the host:port of the worker's control interface.
+	// Address is the host:port of the worker's control interface, with a path if
+	// several workers share it.
 	Address      string `json:"address"`
 	Cores        int    `json:"cores"`
 	MemoryBytes  int64  `json:"memory"`
--- a/tools/schema/protoc-gen-settings/main.go
+++ b/tools/schema/protoc-gen-settings/main.go
@@ -163,13 +163,14 @@
 
 func (s setting) check() string {
 	value := fmt.Sprintf("%q, f.%s, %v", s.name, s.goName, s.required)
+	number := fmt.Sprintf("%q, f.%s", s.name, s.goName)
 	switch s.kind {
 	case "DURATION":
-		return fmt.Sprintf("c.duration(%s, %d*time.Millisecond, %d*time.Millisecond)", value, int(s.least*1000), int(s.most*1000))
+		return fmt.Sprintf("c.duration(%s, %d*time.Millisecond, %d*time.Millisecond)", number, int(s.least*1000), int(s.most*1000))
 	case "COUNT":
-		return fmt.Sprintf("c.count(%s, %v, %v)", value, int(s.least), int(s.most))
+		return fmt.Sprintf("c.count(%s, %v, %v)", number, int(s.least), int(s.most))
 	case "SHARE":
-		return fmt.Sprintf("c.share(%s, %v, %v)", value, s.least, s.most)
+		return fmt.Sprintf("c.share(%s, %v, %v)", number, s.least, s.most)
 	case "CHOICE":
 		return fmt.Sprintf("c.choice(%s, %s)", value, quoteAll(s.choices))
 	default:
