Report rates of an open loop over its whole duration

The window of an open loop ended with its last arrival: a trial of 3 s at 50 arrivals/s reported 2.924 s and 57.1 answers/s for 167 arrivals. It is now the duration, or the time until an interrupt. Lists show times in seconds.

--- a/daisylug/console/bench_test.go
+++ b/daisylug/console/bench_test.go
@@ -60,7 +60,9 @@
 	convey.Convey("Given a server that stalls for 1 s and then answers in 1 ms", t, func() {
 		convey.Convey("an open loop of 200/s sees the stall in a fifth of its requests", func() {
 			flags.Rate = 200
-			all := bench(t, flags, single).Rows[1]
+			report := bench(t, flags, single)
+			all := report.Rows[1]
+			convey.So(report.Seconds, convey.ShouldEqual, 5)
 			convey.So(all.P90, convey.ShouldBeBetween, 300, 1000)
 			convey.So(all.P50, convey.ShouldBeLessThan, 10)
 			convey.So(all.Goodput, convey.ShouldBeBetween, all.Throughput*0.8, all.Throughput*0.95)
--- a/daisylug/console/job_test.go
+++ b/daisylug/console/job_test.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -13,7 +14,7 @@
 	"github.com/smartystreets/goconvey/convey"
 )
 
-const doneJob = `{"id":"j1","team":"a","template":"b","key":"k","shape":{"workers":2,"accelerators":8},"class":"planned","deadline":null,"idempotent":true,"estimate":90,"state":"done","attempt":1,"centre":"c1","rack":"r1","accepted":"2026-01-02T03:04:05Z","started":"2026-01-02T03:04:06Z","ended":"2026-01-02T03:05:00Z","reason":"","results":["x\u001b[31m","y"],"later":1}`
+const doneJob = `{"id":"j1","team":"a","template":"b","key":"k","shape":{"workers":2,"accelerators":8},"class":"planned","deadline":null,"idempotent":true,"estimate":90,"state":"done","attempt":1,"centre":"c1","rack":"r1","accepted":"2026-01-02T03:04:05.123456789Z","started":"2026-01-02T03:04:06Z","ended":"2026-01-02T03:05:00Z","reason":"","results":["x\u001b[31m","y"],"later":1}`
 
 // TestGolden guards against unintended changes of the output, and against a
 // control character of a server reaching the terminal.
@@ -143,3 +144,16 @@
 		}
 	}
 }
+
+// TestInterrupt guards against an interrupted wait that looks like an outcome.
+func TestInterrupt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		var out, err strings.Builder
+		c := New(Streams{In: strings.NewReader(""), Out: &out, Err: &err}, direct{success(`{"id":"j1","state":"running"}`)})
+		if code := c.Run(ctx, []string{"job", "wait", "j1"}); code != ExitInterrupted {
+			t.Errorf("exit code %d, want %d\n%s", code, ExitInterrupted, err.String())
+		}
+	})
+}
--- a/daisylug/console/load.go
+++ b/daisylug/console/load.go
@@ -60,9 +60,14 @@
 	var group sync.WaitGroup
 	room := make(chan struct{}, l.flags.InFlight)
 	arrivals := newArrivals(l.rand(0), l.flags.Rate, l.mix)
+	l.window = l.flags.Duration
 	for {
 		after, entry := arrivals.next()
-		if after >= l.flags.Duration || sleep(ctx, time.Until(started.Add(after))) != nil {
+		if after >= l.flags.Duration {
+			break
+		}
+		if sleep(ctx, time.Until(started.Add(after))) != nil {
+			l.window = time.Since(started)
 			break
 		}
 		select {
@@ -75,7 +80,6 @@
 			l.tally.stats(entry).refuse(typeUnsent, ranNo)
 		}
 	}
-	l.window = min(time.Since(started), l.flags.Duration)
 	group.Wait()
 }
 
--- a/daisylug/console/printer.go
+++ b/daisylug/console/printer.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 )
 
 // columnGap is the number of spaces between columns.
@@ -88,12 +89,24 @@
 	for _, d := range rows {
 		line := make([]string, len(names))
 		for i, name := range names {
-			line[i] = cell(d[name])
+			line[i] = gridCell(name, d[name])
 		}
 		t.row(line...)
 	}
 }
 
+// gridCell shortens times to seconds, which leaves room for other columns.
+func gridCell(name string, value any) string {
+	text := cell(value)
+	switch name {
+	case "accepted", "started", "ended", "deadline", "confirmed":
+		if at, err := time.Parse(time.RFC3339, text); err == nil {
+			return at.Format(time.RFC3339)
+		}
+	}
+	return text
+}
+
 func columns(rows []document, names []string) []string {
 	all := slices.Clone(names)
 	for _, d := range rows {
