Test pairs of faults and that only repeatable calls are sent again

TestFaultPairs covers 13 pairs of a first and a second server for a submission and a quick request. TestOnce shows that a quick request whose connection is cut runs once, and twice without the rule. The refusal of a read no longer has the exit code of an unknown outcome, since a read changes nothing.

--- a/daisylug/console/attempt.go
+++ b/daisylug/console/attempt.go
@@ -76,12 +76,26 @@
 	if errors.As(last, &lost) {
 		return e.unanswered(q)
 	}
-	if len(e.errors) > 1 && e.uncertain && !q.reads() {
+	if q.reads() {
+		return notRun(last)
+	}
+	if len(e.errors) > 1 && e.uncertain {
 		return &UnknownError{Cause: e}
 	}
 	return last
 }
 
+// notRun drops the doubt from the refusal of a read, which changes nothing.
+func notRun(err error) error {
+	var refused *ServerError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	c := *refused
+	c.Ran = ranNo
+	return &c
+}
+
 func (e *AttemptsError) unanswered(q call) error {
 	if e.uncertain && !q.reads() {
 		return &UnknownError{Cause: e}
--- a/daisylug/console/client_test.go
+++ b/daisylug/console/client_test.go
@@ -92,6 +92,7 @@
 		{"409, ran unknown", refusal(http.StatusConflict, typeConflict, ranUnknown), quote, ExitUnknown, 0},
 		{"503, ran yes", refusal(http.StatusServiceUnavailable, typeUnavailable, ranYes), quote, ExitUnknown, 0},
 		{"500", refusal(http.StatusInternalServerError, typeInternal, ranUnknown), quote, ExitUnknown, 0},
+		{"500", refusal(http.StatusInternalServerError, typeInternal, ranUnknown), read, ExitFault, 0},
 		{"not daisylug", http.NotFound, read, ExitFault, 0},
 	} {
 		t.Run(tt.fault+"/"+tt.args[0]+" "+tt.args[1], func(t *testing.T) {
@@ -116,13 +117,75 @@
 	}
 }
 
-// TestUncertainRefusal guards against a refusal of the second attempt being
-// taken for the outcome of the first, which may have been accepted.
-func TestUncertainRefusal(t *testing.T) {
-	servers := serve(t, http.HandlerFunc(cut)) + "," + serve(t, refusal(http.StatusTooManyRequests, typeOverload, ranNo))
-	got := run(t, NewTransport(), "", "--servers", servers, "-o", "json", "job", "submit", "--team=a", "--template=b")
-	if got.code != ExitUnknown || !strings.Contains(got.err, `"ran": "unknown"`) {
-		t.Errorf("exit code %d, want %d\n%s", got.code, ExitUnknown, got.err)
+// TestFaultPairs guards against a refusal of the second attempt being taken
+// for the outcome of the first, which may have been accepted.
+func TestFaultPairs(t *testing.T) {
+	faults := map[string]http.HandlerFunc{
+		"cut":     cut,
+		"leaving": refusal(http.StatusServiceUnavailable, typeLeaving, ranNo),
+		"429":     refusal(http.StatusTooManyRequests, typeOverload, ranNo),
+		"409":     refusal(http.StatusConflict, typeConflict, ranNo),
+	}
+	start := func(fault string) string {
+		if fault == "down" {
+			return closedServer(t)
+		}
+		return serve(t, faults[fault])
+	}
+	for _, tt := range []struct {
+		first, second string
+		submit, quote int
+	}{
+		{"down", "down", ExitUnreachable, ExitUnreachable},
+		{"down", "cut", ExitUnknown, ExitUnknown},
+		{"down", "leaving", ExitRefused, ExitRefused},
+		{"down", "429", ExitRefused, ExitRefused},
+		{"down", "409", ExitConflict, ExitConflict},
+		{"leaving", "down", ExitUnreachable, ExitUnreachable},
+		{"leaving", "cut", ExitUnknown, ExitUnknown},
+		{"leaving", "429", ExitRefused, ExitRefused},
+		{"cut", "down", ExitUnknown, ExitUnknown},
+		{"cut", "cut", ExitUnknown, ExitUnknown},
+		{"cut", "leaving", ExitUnknown, ExitUnknown},
+		{"cut", "429", ExitUnknown, ExitUnknown},
+		{"cut", "409", ExitUnknown, ExitUnknown},
+	} {
+		servers := start(tt.first) + "," + start(tt.second)
+		for command, code := range map[string]int{"job submit": tt.submit, "quote": tt.quote} {
+			line := command + " --team=a --template=b -o json --servers " + servers
+			got := run(t, NewTransport(), "", strings.Fields(line)...)
+			unknown := strings.Contains(got.err, `"ran": "unknown"`)
+			if got.code != code || unknown != (code == ExitUnknown) {
+				t.Errorf("%s, %s, %s: exit code %d, want %d\n%s", command, tt.first, tt.second, got.code, code, got.err)
+			}
+		}
+	}
+}
+
+// TestOnce guards against work that runs twice. Without the rule that only a
+// repeatable call is sent again, it does.
+func TestOnce(t *testing.T) {
+	for _, tt := range []struct {
+		rule bool
+		runs int32
+	}{{true, 1}, {false, 2}} {
+		var runs atomic.Int32
+		first := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			cut(w, r)
+		}))
+		second := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			runs.Add(1)
+			reply(w, http.StatusOK, `{"id":"q"}`)
+		}))
+		q := quickRequest(quoteRequest{Team: "a", Template: "b", ID: "q"})
+		if !tt.rule {
+			q.repeatable = true
+		}
+		_, err := newClient([]server{{first}, {second}}, time.Second, NewTransport()).do(t.Context(), q)
+		if runs.Load() != tt.runs || (err != nil) != tt.rule {
+			t.Errorf("with the rule %v: %d runs, error %v", tt.rule, runs.Load(), err)
+		}
 	}
 }
 
--- a/daisylug/console/completion.go
+++ b/daisylug/console/completion.go
@@ -108,14 +108,24 @@
 			if f.IsBool() {
 				continue
 			}
-			names = append(names, "--"+f.Name)
-			values["--"+f.Name] = append(values["--"+f.Name], choices(f.Value)...)
+			for _, name := range forms(f) {
+				names = append(names, name)
+				values[name] = append(values[name], choices(f.Value)...)
+			}
 		}
 	}
 	slices.Sort(names)
 	return slices.Compact(names), values
 }
 
+// forms returns the long and the short form of a flag.
+func forms(f *kong.Flag) []string {
+	if f.Short == 0 {
+		return []string{"--" + f.Name}
+	}
+	return []string{"--" + f.Name, "-" + string(f.Short)}
+}
+
 func bashCompletion(model *kong.Application) string {
 	paths := commandPaths(model.Node)
 	var b strings.Builder
--- a/daisylug/console/failure.go
+++ b/daisylug/console/failure.go
@@ -143,6 +143,8 @@
 		return ExitFailed
 	case e.Type == typeUnknown || e.Ran != ranNo:
 		return ExitUnknown
+	case e.Type == typeInternal:
+		return ExitFault
 	case e.Type == typeConflict:
 		return ExitConflict
 	case e.Type == typeNotFound:
--- a/shell/daisylug.bash
+++ b/shell/daisylug.bash
@@ -6,12 +6,13 @@
 	case $prev in
 	--class) COMPREPLY=($(compgen -W 'background planned quick' -- "$cur")); return ;;
 	--output) COMPREPLY=($(compgen -W 'json table' -- "$cur")); return ;;
+	-o) COMPREPLY=($(compgen -W 'json table' -- "$cur")); return ;;
 	--after|--callers|--centre|--deadline|--direct|--duration|--estimate|--for|--id|--in-flight|--key|--limit|--mix|--payload|--rate|--seed|--servers|--shape|--state|--team|--template|--timeout) COMPREPLY=($(compgen -f -- "$cur")); return ;;
 	esac
 	for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
 		if [[ -n $skip && $word != = ]]; then skip=; continue; fi
 		case $word in
-		--after|--callers|--centre|--class|--deadline|--direct|--duration|--estimate|--for|--id|--in-flight|--key|--limit|--mix|--output|--payload|--rate|--seed|--servers|--shape|--state|--team|--template|--timeout) skip=1 ;;
+		--after|--callers|--centre|--class|--deadline|--direct|--duration|--estimate|--for|--id|--in-flight|--key|--limit|--mix|--output|--payload|--rate|--seed|--servers|--shape|--state|--team|--template|--timeout|-o) skip=1 ;;
 		-*|=) ;;
 		apply|bench|cancel|completion|diff|get|job|list|quote|status|submit|team|template|version|wait) trail="$trail $word" ;;
 		esac
