dispatch: keep the listener open until requests stop arriving

At shutdown the listener closed after a fixed drain time. The instance now waits until no request has arrived for 250 ms, at most for the patience, and ends each connection after its answer meanwhile. Submissions are accepted during that time too, as they are durable when answered.

--- a/daisylugd/dispatch/daemon.go
+++ b/daisylugd/dispatch/daemon.go
@@ -43,6 +43,8 @@
 	metrics   *meters
 	ready     atomic.Bool
 	draining  atomic.Bool
+	// latest is when the latest request arrived, in nanoseconds.
+	latest atomic.Int64
 }
 
 // New returns an instance that uses the given services and transport.
@@ -193,7 +195,7 @@
 func (d *Daemon) shutDown(server transport.Server) error {
 	d.log.Info(EventDrain, "instance", d.self.Name)
 	d.draining.Store(true)
-	time.Sleep(d.settings.Drain)
+	d.awaitQuiet()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Patience)
 	defer cancel()
 	err := server.Stop(ctx)
@@ -212,6 +214,24 @@
 	return nil
 }
 
+// quietFor is the time without a new request after which the listener may
+// close.
+const quietFor = 250 * time.Millisecond
+
+// awaitQuiet waits for the drain time, and longer while requests still arrive:
+// a connection that the kernel has accepted when the listener closes is cut.
+func (d *Daemon) awaitQuiet() {
+	end := time.Now().Add(d.settings.Patience)
+	time.Sleep(d.settings.Drain)
+	for time.Now().Before(end) {
+		idle := time.Since(time.Unix(0, d.latest.Load()))
+		if idle >= quietFor {
+			return
+		}
+		time.Sleep(quietFor - idle)
+	}
+}
+
 // isReady reports whether the instance should get new requests.
 func (d *Daemon) isReady() bool {
 	return d.ready.Load() && !d.draining.Load()
--- a/daisylugd/dispatch/job.go
+++ b/daisylugd/dispatch/job.go
@@ -54,9 +54,6 @@
 	if err := (decoder{int64(d.settings.BodyBytes)}).decode(ctx.Request(), &r); err != nil {
 		return err
 	}
-	if d.draining.Load() {
-		return NewCallError(TypeLeaving, "this instance is shutting down")
-	}
 	job, err := d.jobOf(r, time.Now())
 	if err != nil {
 		return err
--- a/daisylugd/dispatch/quick.go
+++ b/daisylugd/dispatch/quick.go
@@ -105,7 +105,7 @@
 	sum := sha256.Sum256(r.Payload)
 	one, ok := d.claims.begin(q.ID, &schema.Request{Team: r.Team, Template: r.Template, Key: r.ID, Sum: sum[:]})
 	if !ok {
-		return NewCallError(TypeConflict, "a request with this id is in hand").WithRan(RanUnknown)
+		return NewCallError(TypeUnknown, "a request with this id is under way").WithRan(RanUnknown)
 	}
 	defer d.claims.end(q.ID)
 	answer, err := d.router.Do(call, q)
--- a/daisylugd/dispatch/server.go
+++ b/daisylugd/dispatch/server.go
@@ -20,6 +20,7 @@
 		khttp.Address(d.settings.API),
 		khttp.Timeout(0),
 		khttp.ErrorEncoder(encodeError),
+		khttp.Filter(d.followRequests),
 		khttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(notAllowed)),
 	)
@@ -43,6 +44,22 @@
 	return srv
 }
 
+// followRequests notes when the latest request arrived, and ends the connection
+// after each answer once readiness is withdrawn. A caller could otherwise send
+// its next request on a kept connection at the moment the listener closes it,
+// and not learn whether it was served.
+func (d *Daemon) followRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/") {
+			d.latest.Store(time.Now().UnixNano())
+		}
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // headerWait bounds the wait for the header of a request.
 const headerWait = 5 * time.Second
 
--- a/daisylugd/trial/cluster_test.go
+++ b/daisylugd/trial/cluster_test.go
@@ -80,7 +80,7 @@
 
 func newCluster(t *testing.T) *cluster {
 	number := clusters.Add(1)
-	c := &cluster{t: t, platform: address(number, 0, 7400), http: &http.Client{Timeout: 40 * time.Second}}
+	c := &cluster{t: t, platform: address(number, 0, 7400), http: newClient()}
 	t.Cleanup(c.stop)
 	var listed []map[string]any
 	for i, centre := range centres {
@@ -114,6 +114,11 @@
 	return c
 }
 
+// newClient returns a client that keeps its connections, as a balancer does.
+func newClient() *http.Client {
+	return &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+}
+
 func (c *cluster) start(p *process) {
 	c.t.Helper()
 	log, err := os.OpenFile(filepath.Join(c.t.TempDir(), p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -218,6 +223,16 @@
 	return a, nil
 }
 
+// isReady reports whether an instance says that it takes new requests.
+func (c *cluster) isReady(i int) bool {
+	r, err := c.http.Get(c.url(i, "/readyz"))
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
 func (c *cluster) url(i int, path string) string { return "http://" + c.instances[i].api + path }
 
 // faults sets the faults of the table for all instances.
--- a/daisylugd/trial/operator_test.go
+++ b/daisylugd/trial/operator_test.go
@@ -69,8 +69,13 @@
 	t.Logf("%d of %d changes accepted", len(accepted), operators*rounds)
 }
 
+// balancerLag is how much later than the withdrawal of readiness the balancer
+// of the test stops sending. It exceeds the instance's drain time of 300 ms.
+const balancerLag = 900 * time.Millisecond
+
 // Guards against requests that are cut by a graceful shutdown: every request
-// that was sent gets an answer, also those that arrive after the signal.
+// that the balancer sends gets an answer, also those that arrive after the
+// signal, and also if the balancer is slower than the drain time.
 func TestShutdownCutsNothing(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts 8 processes")
@@ -78,11 +83,17 @@
 	t.Parallel()
 	c := newCluster(t)
 	c.configure()
-	const callers = 8
+	const callers = 16
 	stopped := make(chan struct{})
-	var cut, answered, refused int
-	var mu sync.Mutex
+	var tally shutdownTally
 	var work sync.WaitGroup
+	work.Go(func() {
+		for c.isReady(1) {
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(balancerLag)
+		close(stopped)
+	})
 	for i := range callers {
 		work.Go(func() {
 			for n := 0; ; n++ {
@@ -91,41 +102,44 @@
 					return
 				default:
 				}
-				// As the platform's balancer would, a caller stops using an
-				// instance that says that it is not ready.
-				ready, err := c.http.Get(c.url(1, "/readyz"))
-				if err != nil || ready.StatusCode != http.StatusOK {
-					return
-				}
-				_ = ready.Body.Close()
-				a, err := c.call(context.Background(), http.MethodPost, c.url(1, "/v1/quotes"), map[string]any{
-					"team": "north", "template": "quote", "id": fmt.Sprintf("s-%d-%d", i, n),
-					"payload": map[string]any{"seconds": 0.1},
-				})
-				mu.Lock()
-				switch {
-				case err != nil:
-					cut++
-					t.Errorf("request was cut: %v", err)
-				case a.status == http.StatusOK:
-					answered++
-				default:
-					refused++
-				}
-				mu.Unlock()
+				tally.add(t, c, fmt.Sprintf("s-%d-%d", i, n))
 			}
 		})
 	}
 	time.Sleep(2 * time.Second)
 	c.signal(1, syscall.SIGTERM)
 	err := c.instances[1].cmd.Wait()
-	close(stopped)
 	work.Wait()
 	if err != nil {
 		t.Errorf("exit: %v", err)
 	}
-	if refused > 0 {
-		t.Errorf("%d requests were refused although the instance was ready when asked", refused)
+	if tally.answered == 0 || tally.refused > 0 || tally.cut > 0 {
+		t.Errorf("answered %d, refused %d, cut %d", tally.answered, tally.refused, tally.cut)
+	}
+	t.Logf("answered %d, refused %d, cut %d", tally.answered, tally.refused, tally.cut)
+}
+
+// shutdownTally counts what became of the requests around a shutdown.
+type shutdownTally struct {
+	mu                     sync.Mutex
+	answered, refused, cut int
+}
+
+// add sends a request on a kept connection.
+func (s *shutdownTally) add(t *testing.T, c *cluster, id string) {
+	a, err := c.call(context.Background(), http.MethodPost, c.url(1, "/v1/quotes"), map[string]any{
+		"team": "north", "template": "quote", "id": id, "payload": map[string]any{"seconds": 0.02},
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err != nil:
+		s.cut++
+		t.Errorf("request was cut: %v", err)
+	case a.status == http.StatusOK:
+		s.answered++
+	default:
+		s.refused++
+		t.Errorf("request was refused: %v", a.body)
 	}
-	t.Logf("answered %d, refused %d, cut %d", answered, refused, cut)
 }
