--- a/scheduler/gang/rack.go
+++ b/scheduler/gang/rack.go
@@ -127,6 +127,16 @@
 	return r.change(s, func(w *Worker) { w.Guaranteed += n })
 }
 
+// WithPromises returns the rack with the given numbers of promised accelerators
+// by worker.
+func (r Rack) WithPromises(promised [MaxAccelerators]int) Rack {
+	r.workers = slices.Clone(r.workers)
+	for i := range r.workers {
+		r.workers[i].Guaranteed = promised[i]
+	}
+	return r
+}
+
 // WithSpeed returns the rack with the learned speed of the workers in s.
 func (r Rack) WithSpeed(s Set, speed float64) Rack {
 	return r.change(s, func(w *Worker) { w.setSpeed(speed) })
--- a/scheduler/guarantee/reclaim.go
+++ b/scheduler/guarantee/reclaim.go
@@ -133,21 +133,25 @@
 // not free all unused cells at once.
 func (p Plan) Verify(r gang.Rack, running []Work) error {
 	kinds, used := p.match(r.Name(), running)
+	var free [gang.MaxAccelerators]int
+	for i := range r.Len() {
+		if k := r.Worker(i); !k.Down {
+			free[i] = k.Free
+		}
+	}
 	for i, w := range running {
-		if kinds[i] != KindGuaranteed {
-			r = r.WithUse(w.Workers, -w.Shape.Accelerators)
+		for s := w.Workers; s != 0 && kinds[i] != KindGuaranteed; s = s.Rest() {
+			free[s.First()] += w.Shape.Accelerators
 		}
 	}
 	for i, c := range p.racks[r.Name()] {
-		if used[i] {
-			continue
-		}
-		for s := c.Workers; s != 0; s = s.Rest() {
-			if k := r.Worker(s.First()); k.Down || k.Free < c.Shape.Accelerators {
+		for s := c.Workers; s != 0 && !used[i]; s = s.Rest() {
+			k := r.Worker(s.First())
+			free[s.First()] -= c.Shape.Accelerators
+			if k.Down || free[s.First()] < 0 {
 				return &BlockedError{Cell: c, Worker: k.Name}
 			}
 		}
-		r = r.WithUse(c.Workers, c.Shape.Accelerators)
 	}
 	return nil
 }
--- a/scheduler/planner/planner.go
+++ b/scheduler/planner/planner.go
@@ -34,6 +34,10 @@
 type Running struct {
 	guarantee.Work
 	Request queue.Job
+
+	// guaranteed and weight are derived once in a round.
+	guaranteed bool
+	weight     float64
 }
 
 // Start tells to start a job on free workers.
@@ -111,7 +115,7 @@
 // DefaultOptions returns the options for the given weights.
 func DefaultOptions(w gang.Weights) Options {
 	return Options{
-		Weights: w, Grace: 2 * time.Second, Patience: 10 * time.Minute, Drains: 4,
+		Weights: w, Grace: 2 * time.Second, Patience: 2 * time.Minute, Drains: 4,
 		Starts: 256, Evictions: 32, Advantage: 2, Stint: 10 * time.Minute,
 	}
 }
--- a/scheduler/planner/preempt.go
+++ b/scheduler/planner/preempt.go
@@ -13,6 +13,10 @@
 // cellsTried limits the cells that are compared for one reclaim.
 const cellsTried = 8
 
+// triesByWeight limits the jobs of a round for which work of less weight is
+// searched. Jobs are tried in order of weight, so later ones seldom succeed.
+const triesByWeight = 8
+
 // makeRoom evicts work or drains workers for a job that does not fit now.
 func (r *round) makeRoom(j queue.Job) bool {
 	if len(r.result.Preempts) < r.Evictions {
@@ -64,6 +68,12 @@
 // evictFor evicts borrowed work that gives way to the job, where that loses the
 // least.
 func (r *round) evictFor(j queue.Job) bool {
+	if j.Class != queue.ClassQuick {
+		r.tries++
+		if r.tries > triesByWeight {
+			return false
+		}
+	}
 	allowed := r.givesWay(j)
 	best := math.Inf(1)
 	rack := -1
@@ -100,8 +110,16 @@
 		return w.Request.Class != queue.ClassQuick &&
 			r.saveable(w) &&
 			r.in.Now.Sub(w.Started) >= r.Stint &&
-			queue.Weight(w.Request, r.in.Estimator, w.Started) <= limit
+			r.startWeight(w) <= limit
+	}
+}
+
+// startWeight returns the weight that running work had when it started.
+func (r *round) startWeight(w *Running) float64 {
+	if w.weight == 0 {
+		w.weight = queue.Weight(w.Request, r.in.Estimator, w.Started)
 	}
+	return w.weight
 }
 
 // saveable reports whether work can be checkpointed within the grace.
@@ -165,7 +183,7 @@
 		case !w.Workers.Has(worker):
 		case w.Stopping:
 			short -= w.Shape.Accelerators
-		case !r.isGuaranteed(rack, w) && !w.Fixed && allowed(w):
+		case !w.guaranteed && !w.Fixed && allowed(w):
 			lost, _ := w.Lost(r.in.Now, r.Grace)
 			cost += lost
 			short -= w.Shape.Accelerators
@@ -174,22 +192,13 @@
 	return cost, short <= 0
 }
 
-func (r *round) isGuaranteed(rack int, w *Running) bool {
-	for _, c := range r.in.Plan.OnRack(r.racks[rack].Name()) {
-		if c.Holds(w.Work) {
-			return true
-		}
-	}
-	return false
-}
-
 // evictions returns the allowed work to evict so that the workers can hold the
 // job.
 func (r *round) evictions(j queue.Job, rack int, workers gang.Set, allowed func(*Running) bool) ([]guarantee.Eviction, bool) {
 	var works []guarantee.Work
 	for i := range r.running[rack] {
 		w := &r.running[rack][i]
-		if w.Stopping || !w.Fixed && allowed(w) || r.isGuaranteed(rack, w) {
+		if w.Stopping || !w.Fixed && allowed(w) || w.guaranteed {
 			works = append(works, w.Work)
 		}
 	}
--- a/scheduler/planner/round.go
+++ b/scheduler/planner/round.go
@@ -30,6 +30,7 @@
 	full    map[gang.Request]bool
 	checked map[need]*queue.RefusedError
 	drains  int
+	tries   int
 }
 
 // need is what decides whether a job can ever run.
@@ -54,14 +55,27 @@
 		r.racks[i] = rack
 		r.index[rack.Name()] = i
 	}
-	for _, w := range in.Running {
-		if i, ok := r.index[w.Rack]; ok {
-			r.running[i] = append(r.running[i], w)
+	counts := make([]int, len(in.Racks))
+	for i := range in.Running {
+		if k, ok := r.index[in.Running[i].Rack]; ok {
+			counts[k]++
+		}
+	}
+	for i, n := range counts {
+		r.running[i] = make([]Running, 0, n)
+	}
+	for i := range in.Running {
+		if k, ok := r.index[in.Running[i].Rack]; ok {
+			r.running[k] = append(r.running[k], in.Running[i])
 		}
 	}
 	for i := range r.racks {
 		r.restrict(i)
-		r.unused[i] = in.Plan.Unused(r.racks[i].Name(), r.works(i))
+		works := r.works(i)
+		for k, kind := range in.Plan.Classify(r.racks[i].Name(), works) {
+			r.running[i][k].guaranteed = kind == guarantee.KindGuaranteed
+		}
+		r.unused[i] = in.Plan.Unused(r.racks[i].Name(), works)
 		r.racks[i] = promise(r.racks[i], r.unused[i])
 	}
 	return r
@@ -69,10 +83,13 @@
 
 // promise returns the rack with the guaranteed accelerators of the cells.
 func promise(rack gang.Rack, cells []guarantee.Cell) gang.Rack {
+	var promised [gang.MaxAccelerators]int
 	for _, c := range cells {
-		rack = rack.WithGuaranteed(c.Workers, c.Shape.Accelerators)
+		for s := c.Workers; s != 0; s = s.Rest() {
+			promised[s.First()] += c.Shape.Accelerators
+		}
 	}
-	return rack
+	return rack.WithPromises(promised)
 }
 
 // works returns the running work of a rack.
@@ -240,7 +257,7 @@
 	}
 	r.result.Starts = append(r.result.Starts, Start{Job: j, Rack: w.Rack, Workers: r.racks[rack].Names(workers), Kind: kind})
 	r.racks[rack] = r.racks[rack].WithUse(workers, j.Shape.Accelerators)
-	r.running[rack] = append(r.running[rack], Running{Work: w, Request: j})
+	r.running[rack] = append(r.running[rack], Running{Work: w, Request: j, guaranteed: kind == guarantee.KindGuaranteed})
 	r.restrict(rack)
 }
 
--- a/scheduler/replay/baseline.go
+++ b/scheduler/replay/baseline.go
@@ -120,10 +120,13 @@
 // when, by the declared run times of the work on it.
 func reserve(in planner.Input, racks []gang.Rack, j queue.Job) (int, time.Time) {
 	best, shadow := -1, time.Time{}
+	byRack := map[string][]planner.Running{}
+	for _, w := range in.Running {
+		byRack[w.Rack] = append(byRack[w.Rack], w)
+	}
 	for i, r := range racks {
 		at := in.Now
-		ends := slices.Clone(in.Running)
-		ends = slices.DeleteFunc(ends, func(w planner.Running) bool { return w.Rack != r.Name() })
+		ends := byRack[r.Name()]
 		slices.SortFunc(ends, func(x, y planner.Running) int { return declaredEnd(x).Compare(declaredEnd(y)) })
 		for _, w := range ends {
 			if holds(r, j.Shape) {
--- a/scheduler/replay/engine.go
+++ b/scheduler/replay/engine.go
@@ -88,10 +88,10 @@
 	attempt  int
 	failures int
 	running  *planner.Running
-	// evicted is the running eviction, if any, and preempted the time at which
-	// room was made for the job.
+	// evicted is the running eviction, if any, and reclaimed the time at which
+	// the job's cell was first reclaimed.
 	evicted   *guarantee.Eviction
-	preempted time.Time
+	reclaimed time.Time
 	started   time.Time
 	ended     time.Time
 	done      bool
@@ -376,6 +376,12 @@
 	for _, p := range result.Preempts {
 		e.evict(p)
 	}
+	for _, h := range result.Holds {
+		l := e.jobs[e.byID[h.Job]]
+		if h.Kind == guarantee.KindGuaranteed && l.reclaimed.IsZero() {
+			l.reclaimed = e.now
+		}
+	}
 	for _, s := range result.Starts {
 		if err := e.start(s); err != nil {
 			return err
@@ -394,7 +400,6 @@
 }
 
 func (e *engine) evict(p planner.Preempt) {
-	e.jobs[e.byID[p.Job]].preempted = e.now
 	for _, v := range p.Evictions {
 		l := e.jobs[e.byID[v.Work.Job]]
 		if l.running == nil || l.evicted != nil {
--- a/scheduler/replay/meter.go
+++ b/scheduler/replay/meter.go
@@ -46,8 +46,8 @@
 	// Stranded is the time-weighted share of all accelerators that are free on
 	// racks that cannot hold the largest waiting shape.
 	Stranded float64
-	// ReclaimP95 and ReclaimMax are the times from an eviction to the start of
-	// the job for which it was made.
+	// ReclaimP95 and ReclaimMax are the times from the decision to reclaim a
+	// cell to the start of the job for which it was made.
 	ReclaimP95 time.Duration
 	ReclaimMax time.Duration
 	Evictions  int
@@ -113,9 +113,9 @@
 	if l.job.Class == queue.ClassQuick && l.attempt == 0 {
 		m.urgent = append(m.urgent, now.Sub(l.job.Accepted).Seconds())
 	}
-	if !l.preempted.IsZero() {
-		m.reclaims = append(m.reclaims, now.Sub(l.preempted).Seconds())
-		l.preempted = time.Time{}
+	if !l.reclaimed.IsZero() {
+		m.reclaims = append(m.reclaims, now.Sub(l.reclaimed).Seconds())
+		l.reclaimed = time.Time{}
 	}
 }
 
