--- a/scheduler/gang/place_test.go
+++ b/scheduler/gang/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -80,6 +81,27 @@
 	})
 }
 
+// Guards against speeds that are not learned from noisy run times, and that
+// drift when all observations are off by a factor.
+func TestSpeeds(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 11))
+	s := NewSpeeds()
+	truth := []float64{0.5, 1, 2}
+	for range 500 {
+		for i, v := range truth {
+			s.Observe(3*v*math.Exp2(rng.NormFloat64()*0.5), fmt.Sprint(i))
+		}
+	}
+	for i, v := range truth {
+		if got := s.Speed(fmt.Sprint(i)); math.Abs(math.Log2(got/v)) > 0.4 {
+			t.Errorf("worker %d: speed %.2f, true %.2f", i, got, v)
+		}
+	}
+	if s.Speed("new") != 1 {
+		t.Error("an unknown worker has speed 1")
+	}
+}
+
 // makeRacks returns racks of 8 workers with 8 accelerators, filled at random
 // to about the given share, with speeds from 0.5 to 2 and one worker in 20
 // down.
--- a/scheduler/guarantee/invariant_test.go
+++ b/scheduler/guarantee/invariant_test.go
@@ -13,7 +13,11 @@
 	"daisylug.example/scheduler/gang"
 )
 
-const grace = 2 * time.Second
+const (
+	grace = 2 * time.Second
+	// worldWorkers is the number of workers of a world.
+	worldWorkers = 32
+)
 
 // world is a data centre under random events. counters replaces the plan by
 // plain quota counters, the mechanism's alternative: work within its team's
@@ -30,8 +34,8 @@
 	next    int
 }
 
-func newWorld(counters bool, workers int, guarantees []Guarantee) *world {
-	w := &world{counters: counters, now: time.Unix(0, 0), racks: makeRacks(workers), guarantees: guarantees, counted: map[string]bool{}}
+func newWorld(counters bool, guarantees []Guarantee) *world {
+	w := &world{counters: counters, now: time.Unix(0, 0), racks: makeRacks(worldWorkers), guarantees: guarantees, counted: map[string]bool{}}
 	w.plan = NewPlan(w.racks, guarantees)
 	return w
 }
@@ -286,7 +290,7 @@
 func TestGuaranteesStayReclaimable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 3))
-		w := newWorld(false, 32, makeGuarantees(rng, 5, 32, 0.7))
+		w := newWorld(false, makeGuarantees(rng, 5, 32, 0.7))
 		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
 			w.step(rng)
 			if g, ok := w.stranded(); ok {
@@ -306,7 +310,7 @@
 	const runs = 50
 	for seed := range uint64(runs) {
 		rng := rand.New(rand.NewPCG(seed, 3))
-		w := newWorld(true, 32, makeGuarantees(rng, 5, 32, 0.7))
+		w := newWorld(true, makeGuarantees(rng, 5, 32, 0.7))
 		for range 120 {
 			w.step(rng)
 			if _, ok := w.stranded(); ok {
--- a/scheduler/planner/planner_test.go
+++ b/scheduler/planner/planner_test.go
@@ -193,6 +193,36 @@
 	}
 }
 
+// Guards against work far over its estimate that blocks a drained rack forever,
+// and against stopping it without a checkpoint.
+func TestOverdueWork(t *testing.T) {
+	convey.Convey("given a drained rack with work over its estimate", t, func() {
+		s := newSite(1, 2)
+		o := DefaultOptions(gang.Completion())
+		o.Advantage = 0
+		s.planner = New(o)
+		s.add("long", "b", queue.ClassPlanned, whole, func(j *queue.Job) { j.Declared = time.Minute })
+		s.decide()
+		s.Now = s.Now.Add(24 * time.Hour)
+		s.add("large", "c", queue.ClassPlanned, pair)
+		s.Now = s.Now.Add(o.Patience)
+		result := s.decide()
+		convey.So(result.Preempts, convey.ShouldBeEmpty)
+		convey.So(result.Holds, convey.ShouldHaveLength, 1)
+		convey.So(result.Holds[0].Until.Sub(s.Now), convey.ShouldBeGreaterThan, 23*time.Hour)
+		s.Now = s.Now.Add(o.Patience + time.Second)
+		result = s.decide()
+		convey.So(result.Preempts, convey.ShouldHaveLength, 1)
+		convey.So(result.Preempts[0].Evictions[0].Checkpoint, convey.ShouldBeTrue)
+		convey.Convey("work that cannot be saved is not stopped", func() {
+			s.Running[0].Checkpoint = 0
+			s.Holds[0].Preempting = false
+			s.Holds[0].Since = s.Now.Add(-time.Hour)
+			convey.So(s.decide().Preempts, convey.ShouldBeEmpty)
+		})
+	})
+}
+
 // Guards against jobs that wait forever and against refusing jobs that can run.
 func TestRefuse(t *testing.T) {
 	convey.Convey("a job that can never run is refused with the reason", t, func() {
