--- a/scheduler/planner/planner_test.go
+++ b/scheduler/planner/planner_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
@@ -252,6 +253,27 @@
 	})
 }
 
+// Guards against rounds that change their input or depend on anything else: the
+// same input must give the same decisions.
+func TestDecideIsPure(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 12))
+	s := newSite(4, 8, guarantee.Guarantee{Team: "t1", Shape: whole, Count: 8})
+	for i := range 300 {
+		shape := gang.Shape{Workers: 1 + rng.IntN(4), Accelerators: 1 << rng.IntN(4)}
+		s.add(fmt.Sprint("j", i), fmt.Sprint("t", rng.IntN(5)), queue.Class(rng.IntN(3)), shape)
+	}
+	for range 20 {
+		first := s.planner.Decide(s.Input)
+		second := s.planner.Decide(s.Input)
+		if !reflect.DeepEqual(first, second) {
+			t.Fatalf("first %v\nsecond %v", first, second)
+		}
+		s.decide()
+		s.stop(s.Running[rng.IntN(len(s.Running))].Job)
+		s.Now = s.Now.Add(5 * time.Minute)
+	}
+}
+
 // Measures one round with full racks and one job ending in it, and the round
 // that takes in a burst.
 func BenchmarkDecide(b *testing.B) {
