rack: keep a late renewal from undoing a hand-over, test hand-over and return

New parts of tests fail when the wait for a start under way is removed, when the next owner does not wait for the hand-over, and when a member that was cut off for a minute is not stopped on its return.

--- a/scheduler/rack/claim.go
+++ b/scheduler/rack/claim.go
@@ -95,25 +95,27 @@
 // endLeases claims all workers until now, which tells the next owner that the
 // rack was given up. Tasks keep their own, longer lease.
 func (o *Owner) endLeases(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
 	defer cancel()
 	o.mu.Lock()
 	g, r := o.generation, o.run
-	o.run = nil
+	o.run = nil // no further renewals
 	o.mu.Unlock()
 	if r == nil {
 		return
 	}
-	// A renewal under way would extend the lease again.
-	r.cancel()
-	r.wait.Wait()
-	if o.lostError() != nil {
-		return
-	}
+	defer r.cancel()
 	var wait sync.WaitGroup
-	for _, w := range o.clients() {
+	for _, st := range o.snapshot() {
 		wait.Go(func() {
-			_, _ = w.Claim(ctx, platform.Lease{Generation: g, Deadline: time.Now()})
+			// A renewal under way would extend the lease again.
+			select {
+			case st.turn <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			defer func() { <-st.turn }()
+			_, _ = st.client.Claim(ctx, platform.Lease{Generation: g, Deadline: time.Now()})
 		})
 	}
 	wait.Wait()
--- a/scheduler/rack/fault_test.go
+++ b/scheduler/rack/fault_test.go
@@ -59,10 +59,9 @@
 	}},
 	{"owner paused", func(s *scene) {
 		s.a.gate.pause()
-		resume := s.a.gate.resume
 		s.wait.Go(func() {
 			time.Sleep(pauseTime)
-			close(resume)
+			s.a.gate.unpause()
 		})
 		s.takeOver()
 	}},
--- a/scheduler/rack/harness_test.go
+++ b/scheduler/rack/harness_test.go
@@ -69,7 +69,10 @@
 func (g *gate) unpause() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.resume = nil
+	if g.resume != nil {
+		close(g.resume)
+		g.resume = nil
+	}
 }
 
 func (g *gate) shut() {
--- a/scheduler/rack/owner_test.go
+++ b/scheduler/rack/owner_test.go
@@ -58,18 +58,25 @@
 		{"lost", func(p *memory.Platform) {
 			time.AfterFunc(5*time.Second, func() { p.Fleet.Crash("x-w001") })
 		}, OutcomeLost, 5*time.Second + renewInterval + lostAfter},
+		{"cut off for a minute", func(p *memory.Platform) {
+			w := p.Fleet.Get("x-w001")
+			time.AfterFunc(5*time.Second, func() { w.SetFaults(memory.Faults{Silent: true}) })
+			time.AfterFunc(65*time.Second, func() { w.SetFaults(memory.Faults{}) })
+		}, OutcomeLost, 5*time.Second + renewInterval + lostAfter},
 	} {
 		in(t, c.name, func() {
 			p, ctx := newPlatform(3), context.Background()
 			a := newParty(p, "a")
 			defer a.end()
-			c.fault(p)
+			c.fault(a.gate.view)
 			So(a.owner.Start(ctx, request("job", 1, 3, 100)), ShouldBeNil)
 			So(until(time.Minute, func() bool { return len(a.desk.outcomes()) == 1 }), ShouldBeLessThan, c.limit+time.Second)
 			So(a.desk.outcomes()[0].Kind, ShouldEqual, c.kind)
 			So(a.desk.outcomes()[0].Member, ShouldEqual, 1)
+			time.Sleep(time.Minute) // a member that was cut off is stopped as well
 			_, running := holding(p, "job")
 			So(running, ShouldEqual, 0)
+			So(kept(p), ShouldEqual, 0)
 		})
 	}
 }
--- a/scheduler/rack/set_test.go
+++ b/scheduler/rack/set_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,11 +71,15 @@
 	return platform.Instance{Name: name, DataCentre: "x", Weight: 1, State: platform.StateLive}
 }
 
-// see gives an instance a view of the members.
+// see gives an instance a view of the members; a minus marks a leaving one.
 func (s *sets) see(name string, members ...string) {
 	var all []platform.Instance
 	for _, m := range members {
-		all = append(all, inst(m))
+		i := inst(strings.TrimPrefix(m, "-"))
+		if i.Name != m {
+			i.State = platform.StateLeaving
+		}
+		all = append(all, i)
 	}
 	s.all[name].Update(all, workersOf(s.p))
 }
@@ -95,7 +100,7 @@
 		}
 	}
 	for _, set := range s.all {
-		return found, single && len(found) == len(set.Racks())
+		return found, single && len(found) > 0 && len(found) == len(set.Racks())
 	}
 	return found, false
 }
@@ -167,18 +172,35 @@
 		So(took, ShouldBeLessThan, time.Second)
 		So(s.compare(after, back, ""), ShouldEqual, moved)
 
-		left := make(chan error)
-		go func() { left <- s.all["a"].Leave(context.Background()) }()
+		// A start under way is completed before the hand-over.
+		started, left := make(chan error), make(chan error)
+		for rack, sum := range back {
+			if o, ok := s.all["a"].Owner(rack); ok {
+				slow, fast := sum.Workers[3].Name, sum.Workers[4].Name
+				s.gates["a"].view.Fleet.Get(slow).SetFaults(memory.Faults{Delay: 300 * time.Millisecond})
+				r := GangRequest{Job: "late", Members: []Member{{Worker: slow, Accelerators: 8}, {Worker: fast, Accelerators: 8}}, Payload: memory.Payload{Seconds: 1e6}.Encode()}
+				go func() { started <- o.Start(context.Background(), r) }()
+				break
+			}
+		}
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			left <- s.all["a"].Leave(context.Background())
+		}()
+		time.Sleep(50 * time.Millisecond)
 		for _, n := range []string{"b", "c"} {
-			s.see(n, "b", "c")
+			s.see(n, "-a", "b", "c")
 		}
+		So(<-started, ShouldBeNil)
 		So(<-left, ShouldBeNil)
 		So(until(5*time.Second, func() bool { return s.follows("b", "c") }), ShouldBeLessThan, time.Second)
 		final, _ := s.owners()
 		So(s.compare(back, final, "a"), ShouldEqual, moved)
+		running := 0
 		for _, sum := range final {
-			So(sum.Running, ShouldHaveLength, 1)
+			running += len(sum.Running)
 		}
+		So(running, ShouldEqual, 13)
 	})
 }
 
--- a/scheduler/rack/station.go
+++ b/scheduler/rack/station.go
@@ -22,8 +22,8 @@
 	claimed   bool
 	lost      bool
 	inventory platform.Inventory
-	// clock is the owner's clock at which the inventory was asked for.
-	clock uint64
+	// turn is taken during a claim, so that claims arrive in order.
+	turn chan struct{}
 	// tried is closed after the first attempt to claim.
 	tried chan struct{}
 	// kick asks for a renewal before its time.
@@ -35,6 +35,7 @@
 		info:   w,
 		client: client,
 		listed: true,
+		turn:   make(chan struct{}, 1),
 		tried:  make(chan struct{}),
 		kick:   make(chan struct{}, 1),
 	}
@@ -73,6 +74,12 @@
 // renew claims the worker under the owner's generation and takes over its
 // inventory.
 func (o *Owner) renew(ctx context.Context, st *station) error {
+	select {
+	case st.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-st.turn }()
 	o.mu.Lock()
 	o.clock++
 	clock := o.clock
@@ -95,10 +102,8 @@
 	st.renewed = time.Now()
 	st.claimed = true
 	st.lost = false
-	if clock > st.clock {
-		st.inventory, st.clock = inventory, clock
-		o.observe(st, clock)
-	}
+	st.inventory = inventory
+	o.observe(st, clock)
 	return nil
 }
 
--- a/scheduler/rack/timing.go
+++ b/scheduler/rack/timing.go
@@ -22,6 +22,7 @@
 	surveyLimit  = 250 * time.Millisecond
 	claimLimit   = 250 * time.Millisecond
 	handOverTime = 1 * time.Second
+	releaseLimit = 500 * time.Millisecond
 	holdInterval = 500 * time.Millisecond
 	// holdLimit ends the hold on a platform that does not report the end of
 	// the lease in force; it is below the 120 s after which a worker stops
