--- a/scheduler/member/group_test.go
+++ b/scheduler/member/group_test.go
@@ -232,21 +232,18 @@
 		c.kill("y3")
 		took := until(time.Minute, func() bool { return live(g) == "x0 x1 x2 x3 y0 y1 y2 " })
 		So(took, ShouldBeLessThan, deadAfter+remoteDeadAfter+remoteInterval)
-		for _, x := range all {
-			for _, y := range all {
-				if x.DataCentre != y.DataCentre {
-					c.net.cut(x.Name, y.Name, true)
+		cut := func(on bool) {
+			for _, x := range all {
+				for _, y := range all {
+					if x.DataCentre != y.DataCentre && x.Name != "y3" && y.Name != "y3" {
+						c.net.cut(x.Name, y.Name, on)
+					}
 				}
 			}
 		}
+		cut(true)
 		So(until(time.Minute, func() bool { return live(g) == "x0 x1 x2 x3 " }), ShouldBeLessThan, 20*time.Second)
-		for _, x := range all {
-			for _, y := range all {
-				if x.DataCentre != y.DataCentre && x.Name != "y3" && y.Name != "y3" {
-					c.net.cut(x.Name, y.Name, false)
-				}
-			}
-		}
+		cut(false)
 		So(until(time.Minute, func() bool { return live(g) == "x0 x1 x2 x3 y0 y1 y2 " }), ShouldBeLessThan, 20*time.Second)
 	})
 }
--- a/scheduler/member/network_test.go
+++ b/scheduler/member/network_test.go
@@ -33,6 +33,13 @@
 	return n.cuts[[2]string{from, to}]
 }
 
+func (n *network) add(name string) *node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[name] = &node{net: n, name: name, incoming: make(chan Session, 16)}
+	return n.nodes[name]
+}
+
 // isolate cuts a node from all others, or reconnects it.
 func (n *network) isolate(name string, on bool) {
 	for other := range n.nodes {
@@ -59,12 +66,8 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	a, b := &side{net: n.net, from: n.name, to: address}, &side{net: n.net, from: address, to: n.name}
+	a, b := newSide(n.net, n.name, address), newSide(n.net, address, n.name)
 	a.other, b.other = b, a
-	for _, s := range []*side{a, b} {
-		s.streams = make(chan net.Conn, 16)
-		s.done = make(chan struct{})
-	}
 	select {
 	case to.incoming <- b:
 		return a, nil
@@ -95,6 +98,10 @@
 	stuck    bool
 }
 
+func newSide(n *network, from, to string) *side {
+	return &side{net: n, from: from, to: to, streams: make(chan net.Conn, 16), done: make(chan struct{})}
+}
+
 // lost tells whether a message sent now disappears.
 func (s *side) lost() bool {
 	s.mu.Lock()
@@ -137,17 +144,17 @@
 func (s *side) Close() error {
 	s.once.Do(func() {
 		close(s.done)
+		lost := s.lost()
 		s.mu.Lock()
-		conns := s.conns
-		s.mu.Unlock()
-		for _, c := range conns {
-			if s.lost() {
+		defer s.mu.Unlock()
+		for _, c := range s.conns {
+			if lost {
 				_ = c.SetDeadline(time.Unix(1, 0))
-				continue
+			} else {
+				_ = c.Close()
 			}
-			_ = c.Close()
 		}
-		if !s.lost() {
+		if !lost {
 			go func() { _ = s.other.Close() }()
 		}
 	})
@@ -206,10 +213,7 @@
 func (c *cluster) list(i platform.Instance) { c.plat.Directory.PutInstance(i) }
 
 func (c *cluster) start(i platform.Instance, options ...Option) *Group {
-	n := &node{net: c.net, name: i.Name, incoming: make(chan Session, 16)}
-	c.net.mu.Lock()
-	c.net.nodes[i.Name] = n
-	c.net.mu.Unlock()
+	n := c.net.add(i.Name)
 	c.dirs[i.Name] = c.plat.View().Directory
 	g := New(i, c.dirs[i.Name], n, options...)
 	ctx, cancel := context.WithCancel(context.Background())
