dispatch: evicted work runs again; reclaim at process level

The new test fills a data centre with borrowed work and submits a guaranteed gang of a full rack. It failed for three reasons. A gang that was evicted before its rack's state had shown it counted as running for another 5 s and blocked the reclaim. A gang whose state arrived before the answer to its start kept the record of the attempt before, so that its eviction could not be recorded. A result of an attempt that followed unrecorded attempts during an outage is recorded instead of dropped.

--- a/daisylugd/dispatch/action.go
+++ b/daisylugd/dispatch/action.go
@@ -94,11 +94,12 @@
 func (s *scheduler) launched(job *schema.Job, m *schema.Launched, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st, ok := s.starting[job.Id]
-	if !ok {
+	defer s.wake()
+	st, waiting := s.starting[job.Id]
+	if !waiting {
+		// The rack's state showed the gang first, or the job was cancelled.
 		return
 	}
-	defer s.wake()
 	if err == nil && m.Started {
 		st.launched = true
 		st.deadline = time.Now().Add(settleAfter)
@@ -180,6 +181,9 @@
 func (s *scheduler) evicted(ctx context.Context, job *schema.Job, m *schema.Evicted, err error) {
 	s.mu.Lock()
 	delete(s.stopping, job.Id)
+	// The rack's state may never have shown a gang that was evicted right after
+	// its start; it must not count as running any more.
+	delete(s.starting, job.Id)
 	s.wake()
 	if err != nil {
 		s.mu.Unlock()
@@ -194,11 +198,21 @@
 	s.shares[job.Id] = m.Share
 	s.enqueue(again)
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, recordWait)
-	defer cancel()
-	cause := ledger.Evicted{Checkpoints: m.Checkpoints}
-	if _, err := s.ledger.Requeue(ctx, job.Id, job.Attempt, cause); err != nil {
+	s.recordEviction(ctx, job, ledger.Evicted{Checkpoints: m.Checkpoints})
+}
+
+// recordEviction repeats until the record is settled: a record that stays
+// claimed would make the next claim wait for the attempt to count as lost.
+func (s *scheduler) recordEviction(ctx context.Context, job *schema.Job, cause ledger.Evicted) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, recordWait)
+		_, err := s.ledger.Requeue(call, job.Id, job.Attempt, cause)
+		cancel()
+		if _, _, refused := refusal(err); err == nil || refused {
+			return
+		}
 		s.log.V(1).Info(EventRetry, "what", "record of eviction", "job", job.Id, "err", err)
+		time.Sleep(time.Second)
 	}
 }
 
--- a/daisylugd/dispatch/launcher.go
+++ b/daisylugd/dispatch/launcher.go
@@ -272,16 +272,14 @@
 // record writes an outcome and reports whether the job waits again.
 func (l *launcher) record(ctx context.Context, o rack.Outcome) (again bool, err error) {
 	again, err = l.write(ctx, o)
-	_, state, refused := refusal(err)
+	current, state, refused := refusal(err)
 	if !refused {
 		return again, err
 	}
-	if state != schema.State_STATE_QUEUED {
+	if ended(state) || current >= int32(o.Attempt) {
 		return false, nil
 	}
-	// The attempt was started while the table was away: claim it now. If its
-	// number is taken the outcome belongs to an old attempt.
-	if _, err := l.ledger.Claim(ctx, o.Job, int32(o.Attempt), o.Rack, l.self.DataCentre); err != nil {
+	if err := l.catchUp(ctx, o, current, state); err != nil {
 		_, _, refused := refusal(err)
 		if refused {
 			return false, nil
@@ -291,6 +289,27 @@
 	return l.write(ctx, o)
 }
 
+// catchUp brings the record up to an attempt that was started while the table
+// was away, by way of the attempts that were not recorded.
+func (l *launcher) catchUp(ctx context.Context, o rack.Outcome, current int32, state schema.State) error {
+	const reason = "followed by an attempt while the table was away"
+	for {
+		if state != schema.State_STATE_QUEUED {
+			if _, err := l.ledger.Requeue(ctx, o.Job, current, ledger.Lost{Reason: reason}); err != nil {
+				return err
+			}
+		}
+		current++
+		if _, err := l.ledger.Claim(ctx, o.Job, current, o.Rack, l.self.DataCentre); err != nil {
+			return err
+		}
+		if current == int32(o.Attempt) {
+			return nil
+		}
+		state = schema.State_STATE_CLAIMED
+	}
+}
+
 // write writes an outcome once.
 func (l *launcher) write(ctx context.Context, o rack.Outcome) (again bool, err error) {
 	attempt := int32(o.Attempt)
--- a/daisylugd/dispatch/launcher_test.go
+++ b/daisylugd/dispatch/launcher_test.go
@@ -84,6 +84,50 @@
 	}
 }
 
+// Guards against a result that is dropped because attempts before it were
+// started and evicted while the table was away.
+func TestOutcomeAfterUnrecordedAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		claimed int32
+		attempt int
+		want    schema.State
+	}{
+		{"first attempt unclaimed", 0, 1, schema.State_STATE_DONE},
+		{"second after a claimed one", 1, 2, schema.State_STATE_DONE},
+		{"third after none", 0, 3, schema.State_STATE_DONE},
+		{"old attempt", 2, 1, schema.State_STATE_CLAIMED},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := memory.New(memory.Config{})
+				l := ledger.New(p.Table, p.Objects, ledger.DefaultOptions())
+				job := acceptedJob(t, l, true)
+				for n := int32(1); n <= c.claimed; n++ {
+					if n > 1 {
+						_, _ = l.Requeue(t.Context(), job.Id, n-1, ledger.Lost{})
+					}
+					if _, err := l.Claim(t.Context(), job.Id, n, "a-r00", "a"); err != nil {
+						t.Fatal(err)
+					}
+				}
+				launcher := newLauncher(platform.Instance{DataCentre: "a"}, l, nil, func(*schema.Ended) {}, newMeters(), klog.Background())
+				o := rack.Outcome{Rack: "a-r00", Job: job.Id, Attempt: c.attempt, Team: "north", Kind: rack.OutcomeDone, Results: [][]byte{[]byte("x")}, Member: -1, Ended: time.Now()}
+				if err := launcher.Outcome(t.Context(), o); err != nil {
+					t.Fatal(err)
+				}
+				record, err := l.Get(t.Context(), job.Id)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if record.State != c.want {
+					t.Errorf("job is %v, want %v", record.State, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an outcome that is dropped because its attempt was started
 // while the table was away and so was never claimed, and against an old
 // attempt's outcome that replaces a newer one.
--- a/daisylugd/dispatch/view.go
+++ b/daisylugd/dispatch/view.go
@@ -86,9 +86,13 @@
 // jobs and the starts under way.
 func (s *scheduler) gangs(r gang.Rack, m *schema.Rack, running []planner.Running) []planner.Running {
 	for _, g := range m.Gangs {
+		if s.over(g) {
+			continue
+		}
 		s.pending.Remove(g.Job)
 		delete(s.missing, g.Job)
 		delete(s.starting, g.Job)
+		s.follow(g, r.Name())
 		names := make([]string, 0, len(g.Members))
 		for _, at := range g.Members {
 			if int(at) < len(m.Places) {
@@ -101,6 +105,23 @@
 	return running
 }
 
+// over reports whether a gang that the rack's state still shows has ended: its
+// job waits again after that attempt.
+func (s *scheduler) over(g *schema.Gang) bool {
+	job := s.records[g.Job]
+	return job != nil && job.State == schema.State_STATE_QUEUED && job.Attempt >= g.Attempt
+}
+
+// follow brings the record of a running gang's job up to its attempt. The rack's
+// state can show a gang before the answer to its start arrives.
+func (s *scheduler) follow(g *schema.Gang, rack string) {
+	job := s.records[g.Job]
+	if job == nil || job.Attempt >= g.Attempt {
+		return
+	}
+	s.records[g.Job] = claimedJob(job, g.Attempt, rack)
+}
+
 func (s *scheduler) runningGang(g *schema.Gang, rack string, set gang.Set) planner.Running {
 	job := s.records[g.Job]
 	request := queue.Job{
--- a/daisylugd/trial/cluster_test.go
+++ b/daisylugd/trial/cluster_test.go
@@ -57,6 +57,7 @@
 // cluster is a stand-in platform with instances in three data centres.
 type cluster struct {
 	t         *testing.T
+	dir       string
 	platform  string
 	standin   *process
 	instances []*process
@@ -80,7 +81,9 @@
 
 func newCluster(t *testing.T) *cluster {
 	number := clusters.Add(1)
-	c := &cluster{t: t, platform: address(number, 0, 7400), http: newClient()}
+	// The folder is made before the clean-up is registered, so that the logs
+	// still exist when it runs.
+	c := &cluster{t: t, dir: t.TempDir(), platform: address(number, 0, 7400), http: newClient()}
 	t.Cleanup(c.stop)
 	var listed []map[string]any
 	for i, centre := range centres {
@@ -121,7 +124,7 @@
 
 func (c *cluster) start(p *process) {
 	c.t.Helper()
-	log, err := os.OpenFile(filepath.Join(c.t.TempDir(), p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -248,23 +251,26 @@
 // configure creates the templates and teams of the trial.
 func (c *cluster) configure() {
 	c.t.Helper()
-	put := func(path string, body map[string]any) {
-		a, err := c.call(context.Background(), http.MethodPut, c.url(0, path), body, "If-None-Match", "*")
-		if err != nil || a.status != http.StatusOK {
-			c.t.Fatalf("%s: %v %v", path, a.body, err)
-		}
-	}
 	shape := func(w, a int) map[string]any { return map[string]any{"workers": w, "accelerators": a} }
-	put("/v1/templates/map", map[string]any{"name": "map", "class": "planned", "shape": shape(2, 4), "estimate": 1, "idempotent": true})
-	put("/v1/templates/booking", map[string]any{"name": "booking", "class": "planned", "shape": shape(1, 1), "estimate": 1, "idempotent": false})
-	put("/v1/templates/quote", map[string]any{"name": "quote", "class": "quick", "shape": shape(1, 1), "estimate": 1, "idempotent": true})
-	put("/v1/teams/north", map[string]any{
+	c.put("/v1/templates/map", map[string]any{"name": "map", "class": "planned", "shape": shape(2, 4), "estimate": 1, "idempotent": true})
+	c.put("/v1/templates/booking", map[string]any{"name": "booking", "class": "planned", "shape": shape(1, 1), "estimate": 1, "idempotent": false})
+	c.put("/v1/templates/quote", map[string]any{"name": "quote", "class": "quick", "shape": shape(1, 1), "estimate": 1, "idempotent": true})
+	c.put("/v1/teams/north", map[string]any{
 		"name": "north", "templates": []string{"map", "booking", "quote"}, "priority": 5, "weight": 1, "prepaid": 1e9,
 		"guarantees": []any{map[string]any{"centre": "a", "shape": shape(2, 4), "count": 1}},
 	})
 	c.awaitConfig(4)
 }
 
+// put creates a team or template.
+func (c *cluster) put(path string, body map[string]any) {
+	c.t.Helper()
+	a, err := c.call(context.Background(), http.MethodPut, c.url(0, path), body, "If-None-Match", "*")
+	if err != nil || a.status != http.StatusOK {
+		c.t.Fatalf("%s: %v %v", path, a.body, err)
+	}
+}
+
 // awaitConfig waits until every instance has the configuration version.
 func (c *cluster) awaitConfig(version float64) {
 	c.t.Helper()
@@ -291,10 +297,12 @@
 
 // start is one start of work on a worker.
 type start struct {
-	Kind    string `json:"kind"`
-	ID      string `json:"id"`
-	Member  int    `json:"member"`
-	Attempt int    `json:"attempt"`
+	Kind    string    `json:"kind"`
+	Worker  string    `json:"worker"`
+	At      time.Time `json:"at"`
+	ID      string    `json:"id"`
+	Member  int       `json:"member"`
+	Attempt int       `json:"attempt"`
 }
 
 // starts returns all starts that the workers saw, and those of an attempt that
--- /dev/null
+++ b/daisylugd/trial/reclaim_test.go
@@ -0,0 +1,143 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// urgentStart is the bound on the start of urgent work, reclaim included.
+const urgentStart = 4800 * time.Millisecond
+
+// configureReclaim creates a team that borrows everything and one with a
+// guarantee of a full rack in data centre a.
+func (c *cluster) configureReclaim() {
+	c.t.Helper()
+	shape := func(w, a int) map[string]any { return map[string]any{"workers": w, "accelerators": a} }
+	c.put("/v1/templates/slope", map[string]any{"name": "slope", "class": "background", "shape": shape(1, 8), "estimate": 600, "idempotent": true})
+	c.put("/v1/templates/map", map[string]any{"name": "map", "class": "planned", "shape": shape(8, 8), "estimate": 600, "idempotent": true})
+	c.put("/v1/teams/slopes", map[string]any{"name": "slopes", "templates": []string{"slope"}, "priority": 1, "weight": 1, "prepaid": 1e9})
+	c.put("/v1/teams/maps", map[string]any{
+		"name": "maps", "templates": []string{"map"}, "priority": 9, "weight": 1, "prepaid": 1e9,
+		"guarantees": []any{map[string]any{"centre": "a", "shape": shape(8, 8), "count": 1}},
+	})
+	c.awaitConfig(4)
+}
+
+// started returns how many members of a job the workers have started.
+func (c *cluster) started(job string) int {
+	all, _ := c.starts()
+	n := 0
+	for _, s := range all {
+		if s.ID == job {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitStarts waits until the workers have started as many tasks, and returns
+// how long it took.
+func (c *cluster) awaitStarts(want int, limit time.Duration, count func() int) time.Duration {
+	c.t.Helper()
+	begin := time.Now()
+	for count() < want {
+		if time.Since(begin) > limit {
+			c.t.Fatalf("%d of %d tasks started within %v", count(), want, limit)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+// Guards against a guarantee that cannot be had because others use it: all
+// accelerators of a data centre run borrowed work when the guaranteed gang of a
+// full rack is submitted. In the second case the table is down from the moment
+// the job is accepted. The evicted work has to run again afterwards.
+func TestReclaim(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 8 processes")
+	}
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprintf("outage %t", outage), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			c.configureReclaim()
+			for i := range 16 {
+				c.submitTo(0, map[string]any{"team": "slopes", "template": "slope", "key": fmt.Sprint(i), "payload": map[string]any{"seconds": 600}})
+			}
+			c.awaitStarts(16, 20*time.Second, func() int { all, _ := c.starts(); return len(all) })
+			id := c.submitTo(1, map[string]any{"team": "maps", "template": "map", "key": "m", "payload": map[string]any{"seconds": 600}})
+			if outage {
+				c.faults(map[string]any{"outage": true})
+			}
+			took := c.awaitStarts(8, urgentStart, func() int { return c.started(id) })
+			t.Logf("the guaranteed gang of 64 accelerators started %v after acceptance", took)
+			c.faults(map[string]any{})
+			c.cancelJob(id)
+			c.awaitStarts(16+8+8, 30*time.Second, func() int { all, _ := c.starts(); return len(all) })
+			if _, doubled := c.starts(); len(doubled) > 0 {
+				t.Errorf("started twice: %v", doubled)
+			}
+		})
+	}
+}
+
+// cancelJob cancels one job.
+func (c *cluster) cancelJob(id string) {
+	c.t.Helper()
+	a, err := c.call(context.Background(), http.MethodPost, c.url(2, "/v1/jobs/cancel"), map[string]any{"ids": []string{id}})
+	if err != nil || a.status != http.StatusOK {
+		c.t.Fatalf("cancel: %v %v", a.body, err)
+	}
+}
+
+// submitTo submits a job to an instance and returns its id.
+func (c *cluster) submitTo(i int, body map[string]any) string {
+	c.t.Helper()
+	a, err := c.call(context.Background(), http.MethodPost, c.url(i, "/v1/jobs"), body)
+	if err != nil || a.status != http.StatusCreated {
+		c.t.Fatalf("submit: %v %v", a.body, err)
+	}
+	return a.text("id")
+}
+
+// Guards against a team that runs on after its balance is spent, and against
+// one that is cut off early.
+func TestBalanceRunsOut(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 8 processes")
+	}
+	t.Parallel()
+	c := newCluster(t)
+	c.configure()
+	const prepaid = 160.0
+	c.put("/v1/teams/short", map[string]any{"name": "short", "templates": []string{"map"}, "priority": 5, "weight": 1, "prepaid": prepaid})
+	c.awaitConfig(5)
+	// 8 accelerators use the balance up in 20 s.
+	id := c.submitTo(0, map[string]any{"team": "short", "template": "map", "key": "long", "payload": map[string]any{"seconds": 600}})
+	c.awaitStarts(2, 10*time.Second, func() int { return c.started(id) })
+	begin := time.Now()
+	var stopped time.Duration
+	for time.Since(begin) < 75*time.Second {
+		a, err := c.call(context.Background(), http.MethodGet, c.url(0, "/v1/jobs/"+id), nil)
+		if err == nil && a.text("state") == "queued" {
+			stopped = time.Since(begin)
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if stopped == 0 {
+		t.Fatal("the job runs on after its team's balance is spent")
+	}
+	if stopped < 18*time.Second {
+		t.Errorf("the job was stopped after %v, before the balance was spent", stopped)
+	}
+	t.Logf("stopped after %v with a balance for 20 s", stopped)
+	a, err := c.call(context.Background(), http.MethodPost, c.url(0, "/v1/jobs"), map[string]any{"team": "short", "template": "map", "key": "next"})
+	if err != nil || a.status != http.StatusPaymentRequired {
+		t.Errorf("a job of a team without balance got %d %v %v", a.status, a.body, err)
+	}
+}
