--- a/daisylugd/dispatch/daemon.go
+++ b/daisylugd/dispatch/daemon.go
@@ -83,6 +83,7 @@
 	d.catalogue = template.New(d.services.Table, d.feasible, template.DefaultOptions())
 	accounts := balance.DefaultOptions(d.settings.Centre)
 	accounts.Outage = d.settings.Outage
+	accounts.Interval = d.settings.Settle
 	d.account = balance.New(d.services.Table, accounts)
 }
 
@@ -112,7 +113,7 @@
 		Claimer:   d.claims,
 		Forwarder: &forwarder{daemon: d},
 		Metrics:   d.metrics.set,
-	}, quote.Options{})
+	}, quote.Options{QueuePerSlot: d.settings.QueuePerSlot})
 }
 
 // feasible returns an error if the machines cannot hold the guarantees.
