dispatch: keep cells under running guaranteed work when the plan changes

A new plan was derived without regard to what runs, so that a change of guarantees or workers could move the cell of running guaranteed work and make it evictable.

--- a/daisylugd/dispatch/scheduler.go
+++ b/daisylugd/dispatch/scheduler.go
@@ -77,6 +77,9 @@
 	book      *quarantine.Book
 	speeds    speeds
 	plan      planCache
+	// guaranteed tells which running gangs were started in a cell of their
+	// team.
+	guaranteed map[string]bool
 }
 
 // starting is a gang that the rack's published state does not show yet.
@@ -97,21 +100,22 @@
 
 func newScheduler(self platform.Instance, group *member.Group, l *ledger.Ledger, catalogue *template.Catalogue, b *board, p *planner.Planner, account *balance.Account, c caller, grace time.Duration, log klog.Logger) *scheduler {
 	s := &scheduler{
-		self:      self,
-		group:     group,
-		ledger:    l,
-		catalogue: catalogue,
-		board:     b,
-		planner:   p,
-		balance:   account,
-		caller:    c,
-		grace:     grace,
-		log:       log,
-		wakes:     make(chan struct{}, 1),
-		loads:     make(chan struct{}, 1),
-		estimator: queue.NewEstimator(),
-		book:      quarantine.New(),
-		speeds:    make(speeds),
+		self:       self,
+		group:      group,
+		ledger:     l,
+		catalogue:  catalogue,
+		board:      b,
+		planner:    p,
+		balance:    account,
+		caller:     c,
+		grace:      grace,
+		log:        log,
+		wakes:      make(chan struct{}, 1),
+		loads:      make(chan struct{}, 1),
+		estimator:  queue.NewEstimator(),
+		book:       quarantine.New(),
+		speeds:     make(speeds),
+		guaranteed: make(map[string]bool),
 	}
 	s.reset()
 	return s
--- a/daisylugd/dispatch/view.go
+++ b/daisylugd/dispatch/view.go
@@ -21,8 +21,8 @@
 // input assembles what the decisions depend on.
 func (s *scheduler) input(now time.Time) planner.Input {
 	listing, _ := s.group.Listing()
-	s.plan.update(s.self.DataCentre, s.catalogue.Snapshot(), listing)
 	racks, running := s.view(listing, now)
+	s.plan.update(s.self.DataCentre, s.catalogue.Snapshot(), listing, s.pinned(running)...)
 	return planner.Input{
 		Now:       now,
 		Pending:   s.pending,
@@ -39,6 +39,7 @@
 func (s *scheduler) view(listing platform.Listing, now time.Time) ([]gang.Rack, []planner.Running) {
 	racks := layout(listing.Workers, s.self.DataCentre)
 	var running []planner.Running
+	clear(s.guaranteed)
 	for i := range racks {
 		p, ok := s.board.get(racks[i].Name())
 		if !ok {
@@ -51,6 +52,18 @@
 	return s.addStarting(racks, running, now)
 }
 
+// pinned returns the running work that was started in a cell of its team, so
+// that a new plan keeps the cell there.
+func (s *scheduler) pinned(running []planner.Running) []guarantee.Work {
+	var list []guarantee.Work
+	for _, r := range running {
+		if s.guaranteed[r.Job] {
+			list = append(list, r.Work)
+		}
+	}
+	return list
+}
+
 // everyone returns the set of all workers of a rack.
 func everyone(r gang.Rack) gang.Set {
 	var all gang.Set
@@ -93,6 +106,7 @@
 		delete(s.missing, g.Job)
 		delete(s.starting, g.Job)
 		s.follow(g, r.Name())
+		s.guaranteed[g.Job] = !g.Borrowed
 		names := make([]string, 0, len(g.Members))
 		for _, at := range g.Members {
 			if int(at) < len(m.Places) {
@@ -194,14 +208,14 @@
 	plan    guarantee.Plan
 }
 
-func (c *planCache) update(centre string, snapshot *template.Snapshot, listing platform.Listing) {
+func (c *planCache) update(centre string, snapshot *template.Snapshot, listing platform.Listing, pinned ...guarantee.Work) {
 	workers := fingerprint(listing.Workers)
 	if c.version == snapshot.Version() && c.workers == workers {
 		return
 	}
 	c.version = snapshot.Version()
 	c.workers = workers
-	c.plan = guarantee.NewPlan(layout(listing.Workers, centre), guarantees(snapshot.Teams(), centre))
+	c.plan = guarantee.NewPlan(layout(listing.Workers, centre), guarantees(snapshot.Teams(), centre), pinned...)
 }
 
 // fingerprint changes when a worker comes, leaves or changes.
