planner: state when the plan must be derived again

A plan that ignores quarantine leaves cells on workers that take no work, so the guarantee is blocked until they return.

--- a/scheduler/planner/planner.go
+++ b/scheduler/planner/planner.go
@@ -21,7 +21,10 @@
 	// Running is all running work, including work that is starting or being
 	// evicted.
 	Running []Running
-	Plan    guarantee.Plan
+	// Plan is derived again, with the guaranteed running work pinned, whenever
+	// the guarantees or the workers change or a worker enters or leaves
+	// quarantine; quarantined workers count as down for it.
+	Plan guarantee.Plan
 	// Estimator and Book may be nil.
 	Estimator *queue.Estimator
 	Book      *quarantine.Book
