dispatch: use the library's learned speeds; no cells on quarantined workers

The daemon had its own copy of what gang.Speeds does, and it learned from single-worker runs only. The plan now treats quarantined workers as down, as the planner expects.

--- a/daisylugd/dispatch/backlog.go
+++ b/daisylugd/dispatch/backlog.go
@@ -157,6 +157,154 @@
 	s.wake()
 }
 
+// learn records run times, worker speeds and failures.
+func (s *scheduler) learn(job *schema.Job, m *schema.Ended) {
+	end := m.Ended.AsTime()
+	workers := s.places[job.Id]
+	for i, w := range workers {
+		failed := int32(i)+1 == m.Member && !m.Done
+		if failed || m.Done {
+			s.book.Record(quarantine.Outcome{
+				Worker: w,
+				Job:    job.Id,
+				Source: job.Team + "/" + job.Template,
+				Failed: failed,
+				At:     end,
+			})
+		}
+	}
+	if !m.Done || m.Started == nil || s.shares[job.Id] > 0 {
+		return
+	}
+	ran := end.Sub(m.Started.AsTime())
+	expected := s.estimator.Estimate(s.request(job)).Median
+	s.estimator.Observe(job.Team, job.Template, time.Duration(float64(ran)*s.slowest(workers)))
+	if ran > 0 && expected > 0 {
+		s.speeds.Observe(float64(expected)/float64(ran), workers...)
+	}
+}
+
+// slowest returns the speed of a gang, which is that of its slowest worker.
+func (s *scheduler) slowest(workers []string) float64 {
+	lowest := 1.0
+	for i, w := range workers {
+		if speed := s.speeds.Speed(w); i == 0 || speed < lowest {
+			lowest = speed
+		}
+	}
+	return lowest
+}
+
+// enqueue adds a job to the pending ones, or to the unpaid ones if the balance
+// of its team is spent.
+func (s *scheduler) enqueue(job *schema.Job) {
+	if s.balance.Admit(job.Team, 0, time.Now()) != nil {
+		s.unpaid[job.Id] = job
+		return
+	}
+	s.pending.Add(s.request(job))
+}
+
+// newer reports whether job is a later state of the same job than known.
+func newer(job, known *schema.Job) bool {
+	if job.Attempt != known.Attempt {
+		return job.Attempt > known.Attempt
+	}
+	return rank(job) > rank(known)
+}
+
+// rank orders the states of one attempt. A record goes back to queued after
+// its attempt has been claimed, which the operation id tells apart.
+func rank(job *schema.Job) int {
+	switch job.State {
+	case schema.State_STATE_QUEUED:
+		if job.Attempt == 0 {
+			return 0
+		}
+		return 3
+	case schema.State_STATE_CLAIMED:
+		return 1
+	case schema.State_STATE_RUNNING:
+		return 2
+	default:
+		return 4
+	}
+}
+
+// charge reports the accelerators in use, holds back the jobs of teams whose
+// balance is spent and evicts their running work.
+func (s *scheduler) charge(ctx context.Context, in planner.Input, now time.Time) {
+	use := make(map[string]int)
+	for _, r := range in.Running {
+		use[r.Team] += r.Shape.Total()
+	}
+	for _, team := range s.catalogue.Snapshot().Teams() {
+		s.balance.SetRunning(team.Name, use[team.Name], now)
+	}
+	for _, r := range in.Running {
+		var spent *balance.ExhaustedError
+		if errors.As(s.balance.Admit(r.Team, 0, now), &spent) {
+			s.evict(ctx, r.Job, r.Rack, now.Add(s.grace), now)
+		}
+	}
+	for id, job := range s.unpaid {
+		if s.balance.Admit(job.Team, 0, now) == nil {
+			delete(s.unpaid, id)
+			s.pending.Add(s.request(job))
+		}
+	}
+}
+
+// withdraw forgets cancelled jobs.
+func (s *scheduler) withdraw(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.pending.Remove(id)
+		delete(s.unpaid, id)
+		delete(s.records, id)
+		s.book.Forget(id)
+		s.dropHold(id)
+	}
+	s.wake()
+}
+
+func (s *scheduler) dropHold(job string) {
+	kept := s.holds[:0:0]
+	for _, h := range s.holds {
+		if h.Job != job {
+			kept = append(kept, h)
+		}
+	}
+	s.holds = kept
+}
+
+// ended learns from the end of an attempt.
+func (s *scheduler) ended(m *schema.Ended) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.starting, m.Job)
+	delete(s.stopping, m.Job)
+	defer delete(s.places, m.Job)
+	job := s.records[m.Job]
+	if job == nil {
+		return
+	}
+	s.learn(job, m)
+	if m.Again {
+		again := cloneJob(job)
+		again.State = schema.State_STATE_QUEUED
+		again.Attempt = m.Attempt
+		s.records[m.Job] = again
+		s.enqueue(again)
+	} else {
+		delete(s.records, m.Job)
+		delete(s.shares, m.Job)
+		s.book.Forget(m.Job)
+	}
+	s.wake()
+}
+
 // learn records run times, worker speeds and failures.
 func (s *scheduler) learn(job *schema.Job, m *schema.Ended) {
 	end := m.Ended.AsTime()
--- a/daisylugd/dispatch/scheduler.go
+++ b/daisylugd/dispatch/scheduler.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/balance"
+	"daisylug.example/scheduler/gang"
 	"daisylug.example/scheduler/ledger"
 	"daisylug.example/scheduler/member"
 	"daisylug.example/scheduler/planner"
@@ -75,7 +76,7 @@
 	holds     []planner.Hold
 	estimator *queue.Estimator
 	book      *quarantine.Book
-	speeds    speeds
+	speeds    *gang.Speeds
 	plan      planCache
 	// guaranteed tells which running gangs were started in a cell of their
 	// team.
@@ -114,7 +115,7 @@
 		loads:      make(chan struct{}, 1),
 		estimator:  queue.NewEstimator(),
 		book:       quarantine.New(),
-		speeds:     make(speeds),
+		speeds:     gang.NewSpeeds(),
 		guaranteed: make(map[string]bool),
 	}
 	s.reset()
--- a/daisylugd/dispatch/view.go
+++ b/daisylugd/dispatch/view.go
@@ -2,13 +2,14 @@
 
 import (
 	"hash/fnv"
-	"math"
+	"slices"
 	"time"
 
 	"daisylug.example/scheduler/gang"
 	"daisylug.example/scheduler/guarantee"
 	"daisylug.example/scheduler/planner"
 	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/quarantine"
 	"daisylug.example/scheduler/queue"
 	"daisylug.example/scheduler/schema"
 	"daisylug.example/scheduler/template"
@@ -22,7 +23,7 @@
 func (s *scheduler) input(now time.Time) planner.Input {
 	listing, _ := s.group.Listing()
 	racks, running := s.view(listing, now)
-	s.plan.update(s.self.DataCentre, s.catalogue.Snapshot(), listing, s.pinned(running)...)
+	s.plan.update(s.self.DataCentre, s.catalogue.Snapshot(), s.withoutQuarantined(listing, now), s.pinned(running)...)
 	return planner.Input{
 		Now:       now,
 		Pending:   s.pending,
@@ -52,6 +53,19 @@
 	return s.addStarting(racks, running, now)
 }
 
+// withoutQuarantined returns the listing with the workers in quarantine marked
+// as leaving, so that no cell is placed on them.
+func (s *scheduler) withoutQuarantined(listing platform.Listing, now time.Time) platform.Listing {
+	workers := slices.Clone(listing.Workers)
+	for i, w := range workers {
+		if w.DataCentre == s.self.DataCentre && s.book.Worker(w.Name, now) == quarantine.StateQuarantined {
+			workers[i].State = platform.StateLeaving
+		}
+	}
+	listing.Workers = workers
+	return listing
+}
+
 // pinned returns the running work that was started in a cell of its team, so
 // that a new plan keeps the cell there.
 func (s *scheduler) pinned(running []planner.Running) []guarantee.Work {
@@ -88,9 +102,7 @@
 			continue
 		}
 		r = r.WithUse(one, w.Accelerators-int(p.Free))
-		if speed, known := s.speeds[w.Name]; known {
-			r = r.WithSpeed(one, speed)
-		}
+		r = r.WithSpeed(one, s.speeds.Speed(w.Name))
 	}
 	return r
 }
@@ -240,40 +252,3 @@
 	}
 	return list
 }
-
-// speeds holds the learned speed of workers relative to a typical one.
-type speeds map[string]float64
-
-// speedGain is the weight of a new observation of a worker's speed.
-const speedGain = 0.2
-
-// slowest returns the speed of a gang, which is that of its slowest worker.
-func (s speeds) slowest(workers []string) float64 {
-	lowest := math.Inf(1)
-	for _, w := range workers {
-		speed, ok := s[w]
-		if !ok {
-			speed = 1
-		}
-		lowest = min(lowest, speed)
-	}
-	if math.IsInf(lowest, 1) {
-		return 1
-	}
-	return lowest
-}
-
-// observe learns from a run that was expected to take a time at speed 1.
-// A gang tells nothing about which of its workers was slow, so only runs on
-// one worker count.
-func (s speeds) observe(workers []string, expected, ran time.Duration) {
-	if len(workers) != 1 || expected <= 0 || ran <= 0 {
-		return
-	}
-	old, ok := s[workers[0]]
-	if !ok {
-		old = 1
-	}
-	seen := min(max(float64(expected)/float64(ran), 0.05), 20)
-	s[workers[0]] = old + speedGain*(seen-old)
-}
