dispatch: do not keep a processor busy at rest

Each update of the set of racks announced a change, and each announced change updated the set of racks again: an instance at rest used 47 to 77 % of a core. The set is now updated only when members or workers differ, refreshes are at least 20 ms apart, and a rack's state is decoded only when its bytes differ.

--- a/daisylugd/dispatch/board.go
+++ b/daisylugd/dispatch/board.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -65,9 +66,10 @@
 
 // posted is the state of a rack and when it was received.
 type posted struct {
-	owner string
-	at    time.Time
-	rack  *schema.Rack
+	owner   string
+	at      time.Time
+	content []byte
+	rack    *schema.Rack
 }
 
 func newBoard() *board {
@@ -76,21 +78,21 @@
 
 // post stores the state that owner published, unless a later owner's state is
 // already known, and reports whether it differs from the last one.
-func (b *board) post(owner string, content []byte, at time.Time) (changed bool, err error) {
+func (b *board) post(name, owner string, content []byte, at time.Time) (changed bool, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, ok := b.racks[name]
+	if ok && old.owner == owner && bytes.Equal(old.content, content) {
+		return false, nil
+	}
 	m := new(schema.Rack)
 	if err := proto.Unmarshal(content, m); err != nil {
 		return false, &MessageError{Kind: "rack", Cause: err}
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	old, ok := b.racks[m.Name]
 	if ok && old.rack.Generation > m.Generation {
 		return false, nil
 	}
-	if ok && old.owner == owner && proto.Equal(old.rack, m) {
-		return false, nil
-	}
-	b.racks[m.Name] = posted{owner: owner, at: at, rack: m}
+	b.racks[name] = posted{owner: owner, at: at, content: content, rack: m}
 	return true, nil
 }
 
--- a/daisylugd/dispatch/daemon.go
+++ b/daisylugd/dispatch/daemon.go
@@ -33,6 +33,7 @@
 	catalogue *template.Catalogue
 	account   *balance.Account
 	board     *board
+	layout    layoutCheck
 	racks     *rack.Set
 	launcher  *launcher
 	scheduler *scheduler
--- a/daisylugd/dispatch/follow.go
+++ b/daisylugd/dispatch/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,6 +17,9 @@
 	// followEvery is the interval at which the views are refreshed even if
 	// nothing announced a change.
 	followEvery = 500 * time.Millisecond
+	// followPause is the shortest time between two refreshes; changes in between
+	// are taken together.
+	followPause = 20 * time.Millisecond
 	// usageEvery is the interval at which usage reports are collected.
 	usageEvery = 5 * time.Second
 	// usageWait bounds the calls for usage reports of one round.
@@ -44,6 +48,7 @@
 			d.configure(s)
 		}
 		d.refresh(ctx)
+		time.Sleep(followPause)
 	}
 }
 
@@ -75,8 +80,8 @@
 // others.
 func (d *Daemon) refresh(ctx context.Context) {
 	listing, ok := d.group.Listing()
-	if ok {
-		d.racks.Update(d.group.Members(), listing.Workers)
+	if members := d.group.Members(); ok && d.layout.changed(members, listing.Workers) {
+		d.racks.Update(members, listing.Workers)
 	}
 	now := time.Now()
 	if d.publish(now) || d.gather(now) {
@@ -89,6 +94,24 @@
 	}
 }
 
+// layoutCheck tells whether members or workers differ from the last ones seen.
+// Each update of the set of racks announces a change, so an update without one
+// would cause the next.
+type layoutCheck struct {
+	members []platform.Instance
+	workers uint64
+}
+
+func (c *layoutCheck) changed(members []platform.Instance, workers []platform.WorkerInfo) bool {
+	print := fingerprint(workers)
+	if print == c.workers && slices.Equal(members, c.members) {
+		return false
+	}
+	c.members = members
+	c.workers = print
+	return true
+}
+
 // settled reports whether the instance knows its peers and a configuration.
 func (d *Daemon) settled() bool {
 	select {
@@ -110,7 +133,7 @@
 			continue
 		}
 		d.group.SetValue(rackValue+s.Rack, content)
-		changed = d.post(d.self.Name, content, now) || changed
+		changed = d.post(s.Rack, d.self.Name, content, now) || changed
 	}
 	for _, name := range d.racks.Racks() {
 		if owner, ok := d.racks.Assigned(name); ok && owner != d.self.Name {
@@ -129,17 +152,17 @@
 		}
 		for key, content := range p.Values {
 			if strings.HasPrefix(key, rackValue) {
-				changed = d.post(p.Instance.Name, content, now) || changed
+				changed = d.post(strings.TrimPrefix(key, rackValue), p.Instance.Name, content, now) || changed
 			}
 		}
 	}
 	return changed
 }
 
-func (d *Daemon) post(owner string, content []byte, now time.Time) bool {
-	changed, err := d.board.post(owner, content, now)
+func (d *Daemon) post(rack, owner string, content []byte, now time.Time) bool {
+	changed, err := d.board.post(rack, owner, content, now)
 	if err != nil {
-		d.log.Error(err, "rack state cannot be read", "instance", owner)
+		d.log.Error(err, "rack state cannot be read", "rack", rack, "instance", owner)
 	}
 	return changed
 }
