--- a/scheduler/rack/fault_test.go
+++ b/scheduler/rack/fault_test.go
@@ -73,6 +73,15 @@
 	{"answers lost", func(s *scene) {
 		s.a.gate.view.Fleet.Get(victim).SetFaults(memory.Faults{LoseNextAfter: 2})
 	}},
+	{"orders late", func(s *scene) {
+		s.a.gate.mu.Lock()
+		defer s.a.gate.mu.Unlock()
+		s.a.gate.slow = map[string]time.Duration{
+			"reserve" + victim: 1900 * time.Millisecond,
+			"commit" + victim:  1500 * time.Millisecond,
+		}
+	}},
+	{"other worker killed", func(s *scene) { s.p.Fleet.Crash("x-w002") }},
 	{"worker silent", func(s *scene) {
 		w := s.a.gate.view.Fleet.Get(victim)
 		w.SetFaults(memory.Faults{Silent: true})
--- a/scheduler/rack/harness_test.go
+++ b/scheduler/rack/harness_test.go
@@ -49,6 +49,8 @@
 	orders int
 	closed bool
 	resume chan struct{}
+	// slow is how late the next order will be, by method and worker.
+	slow map[string]time.Duration
 	// superseded is set when another instance has claimed the workers; late
 	// counts the commands that still took effect after that.
 	superseded bool
@@ -57,7 +59,7 @@
 
 func (g *gate) Worker(name string) (platform.Worker, error) {
 	w, err := g.view.Fleet.Worker(name)
-	return gated{w, g}, err
+	return gated{w, g, name}, err
 }
 
 func (g *gate) pause() {
@@ -122,7 +124,27 @@
 
 type gated struct {
 	platform.Worker
-	g *gate
+	g    *gate
+	name string
+}
+
+// late lets an order arrive after its caller has given up, if the next order
+// of its method is to be late on the worker.
+func (w gated) late(ctx context.Context, method string, do func(ctx context.Context) error) error {
+	w.g.mu.Lock()
+	by := w.g.slow[method+w.name]
+	delete(w.g.slow, method+w.name)
+	w.g.mu.Unlock()
+	if by == 0 {
+		return do(ctx)
+	}
+	time.AfterFunc(by, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+		defer cancel()
+		_ = do(ctx)
+	})
+	<-ctx.Done()
+	return &platform.UnknownError{Service: w.name, Cause: ctx.Err()}
 }
 
 func (w gated) Claim(ctx context.Context, l platform.Lease) (i platform.Inventory, err error) {
@@ -134,11 +156,15 @@
 }
 
 func (w gated) Reserve(ctx context.Context, r platform.Reservation) error {
-	return w.g.pass(ctx, "reserve", func(ctx context.Context) error { return w.Worker.Reserve(ctx, r) })
+	return w.g.pass(ctx, "reserve", func(ctx context.Context) error {
+		return w.late(ctx, "reserve", func(ctx context.Context) error { return w.Worker.Reserve(ctx, r) })
+	})
 }
 
 func (w gated) Commit(ctx context.Context, g platform.Generation, t platform.TaskRef) error {
-	return w.g.pass(ctx, "commit", func(ctx context.Context) error { return w.Worker.Commit(ctx, g, t) })
+	return w.g.pass(ctx, "commit", func(ctx context.Context) error {
+		return w.late(ctx, "commit", func(ctx context.Context) error { return w.Worker.Commit(ctx, g, t) })
+	})
 }
 
 func (w gated) Stop(ctx context.Context, g platform.Generation, t platform.TaskRef) error {
--- a/scheduler/rack/start.go
+++ b/scheduler/rack/start.go
@@ -125,13 +125,13 @@
 
 // step carries out one order for each member at the same time. The first
 // failure ends the others.
-func (o *Owner) step(ctx context.Context, g *gang, make func(i int) order, done func(i int, err error)) error {
+func (o *Owner) step(ctx context.Context, g *gang, again func(error) bool, make func(i int) order, done func(i int, err error)) error {
 	ctx, cancel := context.WithTimeout(ctx, stepTime)
 	defer cancel()
 	eg, ctx := errgroup.WithContext(ctx)
 	for i, p := range g.members {
 		eg.Go(func() error {
-			err := o.insist(ctx, p, make(i))
+			err := o.insist(ctx, p, make(i), again)
 			done(i, err)
 			if err != nil {
 				return &memberError{worker: p.worker, cause: err}
@@ -142,9 +142,12 @@
 	return eg.Wait()
 }
 
+// reserve does not repeat an order whose outcome is unknown. The first order
+// could arrive after the member was started and stopped again, and a late
+// commit would then start it a second time.
 func (o *Owner) reserve(ctx context.Context, g *gang, r GangRequest) error {
 	deadline := time.Now().Add(reservationTime)
-	return o.step(ctx, g, func(i int) order {
+	return o.step(ctx, g, unsent, func(i int) order {
 		return func(ctx context.Context, w platform.Worker, gen platform.Generation) error {
 			return w.Reserve(ctx, platform.Reservation{
 				Generation:   gen,
@@ -166,7 +169,7 @@
 func (o *Owner) commit(ctx context.Context, g *gang) (Ran, error) {
 	var mu sync.Mutex
 	ran := RanNo
-	err := o.step(ctx, g, func(i int) order {
+	err := o.step(ctx, g, transient, func(i int) order {
 		return func(ctx context.Context, w platform.Worker, gen platform.Generation) error {
 			o.markCommitted(g.members[i])
 			err := w.Commit(ctx, gen, g.members[i].task)
--- a/scheduler/rack/station.go
+++ b/scheduler/rack/station.go
@@ -219,12 +219,11 @@
 	p.changed = o.clock
 }
 
-// insist repeats an order while its outcome is unknown or the worker is not
-// available, until ctx ends. All orders may be repeated.
-func (o *Owner) insist(ctx context.Context, p *place, do order) error {
+// insist repeats an order as long as again holds for its error, until ctx ends.
+func (o *Owner) insist(ctx context.Context, p *place, do order, again func(error) bool) error {
 	for {
 		err := o.command(ctx, p, do)
-		if !transient(err) || ctx.Err() != nil {
+		if !again(err) || ctx.Err() != nil {
 			return err
 		}
 		select {
@@ -235,9 +234,14 @@
 	}
 }
 
+// unsent tells whether the worker has not received an order.
+func unsent(err error) bool {
+	var unavailable *platform.UnavailableError
+	return errors.As(err, &unavailable)
+}
+
 // transient tells whether an order may succeed when it is repeated.
 func transient(err error) bool {
 	var unknown *platform.UnknownError
-	var unavailable *platform.UnavailableError
-	return errors.As(err, &unknown) || errors.As(err, &unavailable)
+	return errors.As(err, &unknown) || unsent(err)
 }
--- a/scheduler/rack/stop.go
+++ b/scheduler/rack/stop.go
@@ -79,7 +79,7 @@
 					saved[i] = c
 				}
 				return err
-			})
+			}, transient)
 			if err != nil {
 				o.log.V(1).Info("no checkpoint", "job", g.job, "member", i, "error", err)
 			}
