Measure the slopes of each role and whole daemons

The page of capacities had no figures that can be measured again.

Found: a daemon at rest used 55 to 79 % of a core with 16 to 144 workers, at a load average of 65 to 112. dispatch.Daemon.follow calls rack.Set.Update, which notifies follow although nothing has changed. Not fixed here.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,11 @@
 	cd daisylugd/settings && $(TOOL)/tools/schema/go.mod buf generate --path settings.proto
 	gofmt -w daisylugd/dispatch/settings_gen.go
 
+# Measures the slopes and the idle daemon of docs/CAPACITY.md again and prints
+# its tables.
+capacity: build
+	cd scheduler && DAISYLUG_CAPACITY=1 go test -count=1 -v -timeout 9m -parallel 3 -run 'TestSlopes|TestDaemon' ./capacity
+
 # Runs both example sites on loopback addresses.
 demo: build
 	examples/demo.sh kivilattia turku salo lohja
