dispatch: refuse accepted jobs for lack of machines only after 10 minutes

Rounds now wait for the list, and a job that lacks a rack or spare room waits 10 minutes. A start that the rack owner reports as a duplicate is no longer taken for one that did not happen, since that attempt may run.

--- a/daisylugd/dispatch/action.go
+++ b/daisylugd/dispatch/action.go
@@ -8,12 +8,16 @@
 
 	"daisylug.example/scheduler/ledger"
 	"daisylug.example/scheduler/planner"
+	"daisylug.example/scheduler/queue"
 	"daisylug.example/scheduler/schema"
 )
 
 const (
 	// launchWait bounds the start of a gang: claim, reservation and commit.
 	launchWait = 8 * time.Second
+	// refusePatience is how long an accepted job may lack machines that could
+	// ever hold it before it is refused.
+	refusePatience = 10 * time.Minute
 	// haltWait bounds the call that stops cancelled work.
 	haltWait = 5 * time.Second
 	// recordWait bounds the writes that follow a decision.
@@ -23,9 +27,7 @@
 // carryOut starts the actions of one round. The caller holds the lock; the
 // actions run in goroutines of their own.
 func (s *scheduler) carryOut(ctx context.Context, result planner.Result, now time.Time) {
-	for _, r := range result.Refusals {
-		s.refuse(ctx, r)
-	}
+	s.refuseAll(ctx, result.Refusals, now)
 	for _, p := range result.Preempts {
 		s.preempt(ctx, p, now)
 	}
@@ -34,6 +36,28 @@
 	}
 }
 
+// refuseAll ends the jobs that can never run. One that lacks a rack or spare
+// room is refused only after a while, since workers come back and the list of
+// workers may be incomplete.
+func (s *scheduler) refuseAll(ctx context.Context, refusals []planner.Refusal, now time.Time) {
+	still := make(map[string]time.Time, len(refusals))
+	for _, r := range refusals {
+		switch r.Error.Reason {
+		case queue.ReasonRack, queue.ReasonGuarantee:
+			since, seen := s.refused[r.Job.ID]
+			if !seen {
+				since = now
+			}
+			if now.Sub(since) < refusePatience {
+				still[r.Job.ID] = since
+				continue
+			}
+		}
+		s.refuse(ctx, r)
+	}
+	s.refused = still
+}
+
 // refuse ends a job that can never run.
 func (s *scheduler) refuse(ctx context.Context, r planner.Refusal) {
 	s.pending.Remove(r.Job.ID)
--- a/daisylugd/dispatch/launcher.go
+++ b/daisylugd/dispatch/launcher.go
@@ -68,6 +68,10 @@
 		go l.recordStart(m.Job, attempt)
 		return &schema.Launched{Started: true, Attempt: attempt}, nil
 	}
+	var duplicate *rack.DuplicateError
+	if errors.As(err, &duplicate) {
+		return &schema.Launched{Attempt: attempt, Stale: true, Reason: err.Error()}, nil
+	}
 	if startedNothing(err) {
 		return l.unstarted(ctx, m.Job, attempt, err), nil
 	}
@@ -248,7 +252,8 @@
 	for _, job := range m.Jobs {
 		err := owner.Stop(ctx, job)
 		var missing *platform.NotFoundError
-		if err != nil && !errors.As(err, &missing) {
+		var over *rack.EndedError
+		if err != nil && !errors.As(err, &missing) && !errors.As(err, &over) {
 			failed = err
 		}
 	}
--- a/daisylugd/dispatch/scheduler.go
+++ b/daisylugd/dispatch/scheduler.go
@@ -69,10 +69,12 @@
 	shares   map[string]float64
 	starting map[string]starting
 	// places holds the workers of the gangs started here, by member.
-	places    map[string][]string
-	stopping  map[string]time.Time
-	missing   map[string]time.Time
-	strays    map[string]time.Time
+	places   map[string][]string
+	stopping map[string]time.Time
+	missing  map[string]time.Time
+	strays   map[string]time.Time
+	// refused tells since when no machines could hold a pending job.
+	refused   map[string]time.Time
 	holds     []planner.Hold
 	estimator *queue.Estimator
 	book      *quarantine.Book
@@ -135,6 +137,7 @@
 	s.stopping = make(map[string]time.Time)
 	s.missing = make(map[string]time.Time)
 	s.strays = make(map[string]time.Time)
+	s.refused = make(map[string]time.Time)
 	s.holds = nil
 }
 
@@ -169,6 +172,9 @@
 	if !s.holdsRole() {
 		return
 	}
+	if listing, ok := s.group.Listing(); !ok || len(layout(listing.Workers, s.self.DataCentre)) == 0 {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reconcile(ctx, now)
