--- a/daisylugd/dispatch/job.go
+++ b/daisylugd/dispatch/job.go
@@ -10,6 +10,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"daisylug.example/scheduler/balance"
 	"daisylug.example/scheduler/ledger"
 	"daisylug.example/scheduler/planner"
 	"daisylug.example/scheduler/platform"
@@ -243,9 +244,13 @@
 	return planner.Refuse(request, racks, plan, now)
 }
 
-// balanceLeft refuses work of a team whose balance is spent.
+// balanceLeft refuses work of a team whose balance is spent. The account of a
+// team that was created a moment ago may not be known yet; its work is accepted
+// and waits for the account.
 func (d *Daemon) balanceLeft(team string) error {
-	if err := d.account.Admit(team, 0, time.Now()); err != nil {
+	err := d.account.Admit(team, 0, time.Now())
+	var spent *balance.ExhaustedError
+	if errors.As(err, &spent) {
 		return NewCallError(TypeBalance, err.Error()).WithCause(err)
 	}
 	return nil
