--- a/Makefile
+++ b/Makefile
@@ -33,10 +33,10 @@
 	cd daisylugd/settings && $(TOOL)/tools/schema/go.mod buf generate --path settings.proto
 	gofmt -w daisylugd/dispatch/settings_gen.go
 
-# Measures the slopes and the idle daemon of docs/CAPACITY.md again and prints
-# its tables.
+# Measures the slopes and the daemons of docs/CAPACITY.md again and prints its
+# tables; takes about 8 minutes.
 capacity: build
-	cd scheduler && DAISYLUG_CAPACITY=1 go test -count=1 -v -timeout 9m -parallel 3 -run 'TestSlopes|TestDaemon' ./capacity
+	cd scheduler && DAISYLUG_CAPACITY=1 go test -count=1 -v -timeout 12m -parallel 3 -run 'TestSlopes|TestCallers|TestTeams|TestDaemon' ./capacity
 
 # Runs both example sites on loopback addresses.
 demo: build
--- a/scheduler/capacity/slope_test.go
+++ b/scheduler/capacity/slope_test.go
@@ -173,7 +173,7 @@
 func (s slope) print(points []point, load string) {
 	var measured []string
 	for _, p := range points {
-		measured = append(measured, fmt.Sprintf("%g: %.4g", p.size, p.cost))
+		measured = append(measured, fmt.Sprintf("%.4g: %.4g", p.size, p.cost))
 	}
 	l := fit(points)
 	rms, share := residual(l, points)
