--- a/daisylugd/dispatch/action.go
+++ b/daisylugd/dispatch/action.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"daisylug.example/scheduler/guarantee"
 	"daisylug.example/scheduler/ledger"
 	"daisylug.example/scheduler/planner"
 	"daisylug.example/scheduler/queue"
@@ -101,7 +102,7 @@
 		Job:      job,
 		Rack:     st.Rack,
 		Workers:  st.Workers,
-		Borrowed: st.Kind == "borrowed",
+		Borrowed: st.Kind == guarantee.KindBorrowed,
 	}
 	if d := s.estimator.Estimate(st.Job).Median; d > 0 {
 		m.Ends = timestamppb.New(now.Add(d))
@@ -125,7 +126,6 @@
 		return
 	}
 	if err == nil && m.Started {
-		st.launched = true
 		st.deadline = time.Now().Add(settleAfter)
 		s.starting[job.Id] = st
 		s.records[job.Id] = claimedJob(job, m.Attempt, st.start.Rack)
--- a/daisylugd/dispatch/backlog.go
+++ b/daisylugd/dispatch/backlog.go
@@ -10,6 +10,7 @@
 	"daisylug.example/scheduler/balance"
 	"daisylug.example/scheduler/gang"
 	"daisylug.example/scheduler/planner"
+	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/quarantine"
 	"daisylug.example/scheduler/queue"
 	"daisylug.example/scheduler/schema"
@@ -92,6 +93,7 @@
 	}
 	for _, team := range s.catalogue.Snapshot().Teams() {
 		s.balance.SetRunning(team.Name, use[team.Name], now)
+		s.noteBalance(team.Name, now)
 	}
 	for _, r := range in.Running {
 		var spent *balance.ExhaustedError
@@ -107,6 +109,32 @@
 	}
 }
 
+// noteBalance logs when the balance of a team is spent and when it is not any
+// more.
+func (s *scheduler) noteBalance(team string, now time.Time) {
+	var exhausted *balance.ExhaustedError
+	spent := errors.As(s.balance.Admit(team, 0, now), &exhausted)
+	if spent != s.spent[team] {
+		s.log.Info(EventBalance, "team", team, "spent", spent)
+	}
+	s.spent[team] = spent
+}
+
+// noteQuarantine logs when the state of a worker has changed.
+func (s *scheduler) noteQuarantine(workers []platform.WorkerInfo, now time.Time) {
+	for _, w := range workers {
+		if w.DataCentre != s.self.DataCentre {
+			continue
+		}
+		state := s.book.Worker(w.Name, now)
+		old, seen := s.workers[w.Name]
+		if state != old && (seen || state != quarantine.StateHealthy) {
+			s.log.Info(EventQuarantine, "worker", w.Name, "rack", w.Rack, "state", state)
+		}
+		s.workers[w.Name] = state
+	}
+}
+
 // withdraw forgets cancelled jobs.
 func (s *scheduler) withdraw(ids []string) {
 	s.mu.Lock()
--- a/daisylugd/dispatch/board.go
+++ b/daisylugd/dispatch/board.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"slices"
 	"sync"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -64,10 +63,9 @@
 	racks map[string]posted
 }
 
-// posted is the state of a rack and when it was received.
+// posted is the state of a rack as its owner published it.
 type posted struct {
 	owner   string
-	at      time.Time
 	content []byte
 	rack    *schema.Rack
 }
@@ -78,7 +76,7 @@
 
 // post stores the state that owner published, unless a later owner's state is
 // already known, and reports whether it differs from the last one.
-func (b *board) post(name, owner string, content []byte, at time.Time) (changed bool, err error) {
+func (b *board) post(name, owner string, content []byte) (changed bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old, ok := b.racks[name]
@@ -92,7 +90,7 @@
 	if ok && old.rack.Generation > m.Generation {
 		return false, nil
 	}
-	b.racks[name] = posted{owner: owner, at: at, content: content, rack: m}
+	b.racks[name] = posted{owner: owner, content: content, rack: m}
 	return true, nil
 }
 
--- a/daisylugd/dispatch/event.go
+++ b/daisylugd/dispatch/event.go
@@ -20,8 +20,8 @@
 	EventPlanner    = "planner role taken"
 	EventRetire     = "planner role given up"
 	EventConfig     = "configuration in force"
-	EventQuarantine = "worker quarantined"
-	EventBalance    = "balance spent"
+	EventQuarantine = "worker state changed"
+	EventBalance    = "balance changed"
 	EventRetry      = "will try again"
 )
 
--- a/daisylugd/dispatch/follow.go
+++ b/daisylugd/dispatch/follow.go
@@ -83,8 +83,7 @@
 	if members := d.group.Members(); ok && d.layout.changed(members, listing.Workers) {
 		d.racks.Update(members, listing.Workers)
 	}
-	now := time.Now()
-	if d.publish(now) || d.gather(now) {
+	if d.publish() || d.gather() {
 		d.scheduler.wake()
 	}
 	d.hint(ctx)
@@ -124,7 +123,7 @@
 
 // publish sends the state of the own racks to the data centre and reports
 // whether one has changed.
-func (d *Daemon) publish(now time.Time) bool {
+func (d *Daemon) publish() bool {
 	changed := false
 	for _, s := range d.racks.Summaries() {
 		content, err := encodeRack(s)
@@ -133,7 +132,7 @@
 			continue
 		}
 		d.group.SetValue(rackValue+s.Rack, content)
-		changed = d.post(s.Rack, d.self.Name, content, now) || changed
+		changed = d.post(s.Rack, d.self.Name, content) || changed
 	}
 	for _, name := range d.racks.Racks() {
 		if owner, ok := d.racks.Assigned(name); ok && owner != d.self.Name {
@@ -144,7 +143,7 @@
 }
 
 // gather reads the racks that others published.
-func (d *Daemon) gather(now time.Time) bool {
+func (d *Daemon) gather() bool {
 	changed := false
 	for _, p := range d.group.Peers() {
 		if p.Instance.DataCentre != d.self.DataCentre {
@@ -152,15 +151,15 @@
 		}
 		for key, content := range p.Values {
 			if strings.HasPrefix(key, rackValue) {
-				changed = d.post(strings.TrimPrefix(key, rackValue), p.Instance.Name, content, now) || changed
+				changed = d.post(strings.TrimPrefix(key, rackValue), p.Instance.Name, content) || changed
 			}
 		}
 	}
 	return changed
 }
 
-func (d *Daemon) post(rack, owner string, content []byte, now time.Time) bool {
-	changed, err := d.board.post(rack, owner, content, now)
+func (d *Daemon) post(rack, owner string, content []byte) bool {
+	changed, err := d.board.post(rack, owner, content)
 	if err != nil {
 		d.log.Error(err, "rack state cannot be read", "rack", rack, "instance", owner)
 	}
--- a/daisylugd/dispatch/job.go
+++ b/daisylugd/dispatch/job.go
@@ -68,6 +68,7 @@
 	d.metrics.accepted(record.Team, className(record.Class), existing)
 	status := http.StatusOK
 	if !existing {
+		d.log.V(1).Info(EventAccept, "job", record.Id, "team", record.Team, "centre", record.Centre)
 		status = http.StatusCreated
 		d.offer(record.Centre, record)
 	}
--- a/daisylugd/dispatch/launcher.go
+++ b/daisylugd/dispatch/launcher.go
@@ -268,7 +268,11 @@
 	if err != nil {
 		return err
 	}
-	l.log.V(1).Info(EventFinish, "job", o.Job, "team", o.Team, "rack", o.Rack, "attempt", o.Attempt, "outcome", o.Kind, "again", again)
+	event := EventFinish
+	if again {
+		event = EventRequeue
+	}
+	l.log.V(1).Info(event, "job", o.Job, "team", o.Team, "rack", o.Rack, "attempt", o.Attempt, "outcome", o.Kind, "reason", o.Reason)
 	l.meters.ended(o)
 	l.notify(endedMessage(o, again))
 	return nil
--- a/daisylugd/dispatch/scheduler.go
+++ b/daisylugd/dispatch/scheduler.go
@@ -79,7 +79,10 @@
 	estimator *queue.Estimator
 	book      *quarantine.Book
 	speeds    *gang.Speeds
-	plan      planCache
+	// workers and spent hold what was last logged.
+	workers map[string]quarantine.State
+	spent   map[string]bool
+	plan    planCache
 	// guaranteed tells which running gangs were started in a cell of their
 	// team.
 	guaranteed map[string]bool
@@ -90,8 +93,6 @@
 	start    planner.Start
 	attempt  int32
 	deadline time.Time
-	// launched is set when the rack owner has confirmed the start.
-	launched bool
 }
 
 // caller carries decisions to the rack owners.
@@ -118,6 +119,8 @@
 		estimator:  queue.NewEstimator(),
 		book:       quarantine.New(),
 		speeds:     gang.NewSpeeds(),
+		workers:    make(map[string]quarantine.State),
+		spent:      make(map[string]bool),
 		guaranteed: make(map[string]bool),
 	}
 	s.reset()
@@ -172,11 +175,13 @@
 	if !s.holdsRole() {
 		return
 	}
-	if listing, ok := s.group.Listing(); !ok || len(layout(listing.Workers, s.self.DataCentre)) == 0 {
+	listing, ok := s.group.Listing()
+	if !ok || len(layout(listing.Workers, s.self.DataCentre)) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteQuarantine(listing.Workers, now)
 	s.reconcile(ctx, now)
 	in := s.input(now)
 	s.settleStrays(ctx, in.Running, now)
