dispatch: answer submissions and changes before callers give up

With the table down, a submission through the command line ended after 10 s as unknown, because the instance answered only after 20 s. It now answers after 8 s that nothing was written.

--- a/daisylugd/dispatch/catalogue.go
+++ b/daisylugd/dispatch/catalogue.go
@@ -16,8 +16,9 @@
 	"daisylug.example/scheduler/template"
 )
 
-// changeWait bounds a change of a team or template.
-const changeWait = 20 * time.Second
+// changeWait bounds a change of a team or template. Like submitWait it is below
+// the 10 s that the command line waits.
+const changeWait = 8 * time.Second
 
 type guaranteeBody struct {
 	Centre string    `json:"centre"`
--- a/daisylugd/dispatch/job.go
+++ b/daisylugd/dispatch/job.go
@@ -19,13 +19,15 @@
 )
 
 const (
-	keyBytesMax   = 200
-	estimateMax   = 366 * 24 * time.Hour
-	listMax       = 500
-	listFallback  = 100
-	cancelIDsMax  = 10000
-	waitMax       = time.Minute
-	submitWait    = 20 * time.Second
+	keyBytesMax  = 200
+	estimateMax  = 366 * 24 * time.Hour
+	listMax      = 500
+	listFallback = 100
+	cancelIDsMax = 10000
+	waitMax      = time.Minute
+	// submitWait is below the 10 s that the command line waits, so that a caller
+	// learns that nothing was written instead of giving up.
+	submitWait    = 8 * time.Second
 	cancelWait    = 60 * time.Second
 	waitPollFirst = 100 * time.Millisecond
 	waitPollMost  = time.Second
