--- a/daisylugd/dispatch/daemon.go
+++ b/daisylugd/dispatch/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	"k8s.io/klog/v2"
 
+	"daisylug.example/daisylugd/loop"
 	"daisylug.example/scheduler/balance"
 	"daisylug.example/scheduler/gang"
 	"daisylug.example/scheduler/ledger"
@@ -126,42 +127,6 @@
 	return feasible(teams, listing.Workers)
 }
 
-// task is a loop of the daemon. It implements transport.Server.
-type task struct {
-	run    func(context.Context) error
-	cancel context.CancelFunc
-	ctx    context.Context
-	done   chan struct{}
-}
-
-var _ transport.Server = (*task)(nil)
-
-func newTask(run func(context.Context) error) *task {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &task{run: run, cancel: cancel, ctx: ctx, done: make(chan struct{})}
-}
-
-// Start runs the loop until Stop.
-func (t *task) Start(context.Context) error {
-	defer close(t.done)
-	err := t.run(t.ctx)
-	if t.ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
-// Stop ends the loop and waits for it.
-func (t *task) Stop(ctx context.Context) error {
-	t.cancel()
-	select {
-	case <-t.done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Run serves until a signal or a fault, then stops in order.
 func (d *Daemon) Run() error {
 	server := d.server()
@@ -171,16 +136,16 @@
 		kratos.Logger(kratosLog{d.log}),
 		kratos.StopTimeout(d.settings.Patience),
 		kratos.Server(
-			newTask(d.group.Run),
-			newTask(d.catalogue.Run),
-			newTask(d.account.Run),
-			newTask(d.racks.Run),
-			newTask(d.follow),
-			newTask(d.scheduler.run),
-			newTask(d.scheduler.scan),
-			newTask(d.collect),
-			newTask(d.pool.Run),
-			newTask(d.router.Run),
+			loop.New(d.group.Run),
+			loop.New(d.catalogue.Run),
+			loop.New(d.account.Run),
+			loop.New(d.racks.Run),
+			loop.New(d.follow),
+			loop.New(d.scheduler.run),
+			loop.New(d.scheduler.scan),
+			loop.New(d.collect),
+			loop.New(d.pool.Run),
+			loop.New(d.router.Run),
 			server,
 		),
 		kratos.BeforeStop(func(context.Context) error { return d.shutDown(server) }),
--- /dev/null
+++ b/daisylugd/entry/elect.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"syscall"
+	"time"
+
+	"daisylug.example/scheduler/control"
+	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/term"
+)
+
+// Application values of the heartbeats.
+const (
+	// valueGeneration is the generation of an instance that is in office.
+	valueGeneration = "generation"
+	// valueProcess identifies the process of an instance.
+	valueProcess = "process"
+)
+
+const (
+	// electInterval is the time between two checks of the planner in office.
+	electInterval = 150 * time.Millisecond
+	// electJitter spreads the candidates, so that usually one takes over.
+	electJitter = 60 * time.Millisecond
+	// probeTimeout is the time to connect to a planner that is out of touch.
+	probeTimeout = 300 * time.Millisecond
+	// callTimeout bounds one call of the store during an election.
+	callTimeout = 2 * time.Second
+)
+
+// elect watches the planner in office and takes over when it is lost.
+func (e *Entry) elect(ctx context.Context) error {
+	e.group.SetValue(valueProcess, number(e.incarnation))
+	office := term.New(e.services.Store, e.settings.Name, e.incarnation)
+	var seen term.Holder
+	var since time.Time
+	for ctx.Err() == nil {
+		sleep(ctx, electInterval+rand.N(electJitter))
+		if _, ok := e.inOffice(); ok || e.draining.Load() {
+			since = time.Time{}
+			continue
+		}
+		one, cancel := context.WithTimeout(ctx, callTimeout)
+		holder, err := office.Holder(one)
+		cancel()
+		if err != nil {
+			continue
+		}
+		if since.IsZero() || holder != seen {
+			seen, since = holder, time.Now()
+		}
+		reason := e.vacant(holder, since)
+		if reason == "" {
+			continue
+		}
+		since = time.Time{}
+		e.log.Info("taking over", "former", holder.Name, "generation", holder.Generation+1, "reason", reason)
+		if err := e.serve(ctx, office, holder); err != nil && ctx.Err() == nil {
+			e.log.Info("not in office", "error", err)
+		}
+	}
+	return ctx.Err()
+}
+
+// vacant returns why the office is vacant, or nothing.
+func (e *Entry) vacant(holder term.Holder, since time.Time) string {
+	switch {
+	case holder.Name == "":
+		return "no planner"
+	case holder.Name == e.settings.Name:
+		return "own former process"
+	case time.Since(since) >= term.Lease:
+		return "lease ended"
+	}
+	if content, ok := e.group.Value(holder.Name, valueProcess); ok && len(content) == 8 &&
+		binary.BigEndian.Uint64(content) != holder.Incarnation {
+		return "process has restarted"
+	}
+	conn, err := net.DialTimeout("tcp", holder.Name, probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return "process is gone"
+	}
+	return ""
+}
+
+// serve plans for one term.
+func (e *Entry) serve(ctx context.Context, office *term.Office, last term.Holder) error {
+	one, cancel := context.WithTimeout(ctx, callTimeout)
+	t, err := office.Seize(one, last)
+	cancel()
+	if err != nil {
+		return err
+	}
+	p := control.New(control.Dependencies{
+		Term: t, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.services.Dialer,
+		Catalogue: e.catalogue, Timing: e.settings.Timing, Log: e.log, Metrics: e.metrics,
+	})
+	if err := p.Load(ctx); err != nil {
+		return err
+	}
+	e.planner.Store(p)
+	defer e.planner.Store(nil)
+	e.group.SetValue(valueGeneration, number(t.Generation()))
+	defer e.group.SetValue(valueGeneration, nil)
+	e.log.Info("in office", "generation", t.Generation())
+	if e.draining.Load() {
+		p.Resign()
+	}
+	return p.Run(ctx)
+}
+
+func number(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+// inOffice returns the name of the planner's instance, if it can be reached.
+func (e *Entry) inOffice() (string, bool) {
+	if e.planner.Load() != nil {
+		return e.settings.Name, true
+	}
+	name, latest := "", uint64(0)
+	for _, p := range e.group.Peers() {
+		if !p.Connected || p.Health != member.HealthAlive {
+			continue
+		}
+		content, ok := p.Values[valueGeneration]
+		if ok && len(content) == 8 && binary.BigEndian.Uint64(content) > latest {
+			name, latest = p.Instance.Name, binary.BigEndian.Uint64(content)
+		}
+	}
+	return name, name != ""
+}
--- /dev/null
+++ b/daisylugd/entry/entry.go
@@ -0,0 +1,117 @@
+// Package entry is an entry instance for platforms whose workers run jobs of
+// steps: it answers callers, takes part in the election of the planner and
+// runs the planner while it is in office.
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"daisylug.example/scheduler/control"
+	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/platform"
+)
+
+// Snapshot is a configuration as the platform's adapter decoded it.
+type Snapshot interface {
+	Catalogue() *control.Catalogue
+}
+
+// Source reads the configuration.
+type Source interface {
+	// Next returns the configuration when it differs from the one with the
+	// given version, or nil when the wait has passed without a change.
+	Next(ctx context.Context, version int64, wait time.Duration) (Snapshot, error)
+}
+
+// Services are what an instance uses of its platform.
+type Services struct {
+	Store    *Store
+	Registry control.Registry
+	Dialer   control.Dialer
+	Source   Source
+	Peers    member.Transport
+}
+
+// Settings of an instance.
+type Settings struct {
+	// Name is the address for other instances.
+	Name       string
+	Region     string
+	DataCentre string
+	// Seeds are addresses of instances to begin with.
+	Seeds []string
+	// Freshness is the age up to which a configuration is acted on.
+	Freshness time.Duration
+	Timing    control.Timing
+}
+
+// Entry is one entry instance.
+type Entry struct {
+	settings    Settings
+	services    Services
+	log         klog.Logger
+	metrics     *metrics.Set
+	group       *member.Group
+	incarnation uint64
+	snapshot    atomic.Pointer[Snapshot]
+	// confirmed is when the configuration was last known to be the newest.
+	confirmed atomic.Pointer[time.Time]
+	planner   atomic.Pointer[control.Planner]
+	draining  atomic.Bool
+}
+
+// New returns an instance. Run starts it.
+func New(settings Settings, services Services, set *metrics.Set, log klog.Logger) *Entry {
+	e := &Entry{
+		settings: settings, services: services, log: log, metrics: set,
+		incarnation: uint64(time.Now().UnixMicro()),
+	}
+	self := platform.Instance{
+		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: settings.Name, Weight: 1,
+	}
+	e.group = member.New(self, &directory{entry: e}, services.Peers, member.WithLogger(log), member.WithWholeMesh())
+	services.Store.serve(e.group)
+	e.handle()
+	return e
+}
+
+// Run takes part until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.group.Run(ctx) })
+	group.Go(func() error { return e.follow(ctx) })
+	group.Go(func() error { return e.elect(ctx) })
+	group.Go(func() error { return e.announce(ctx) })
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Drain withdraws readiness and hands the planning over.
+func (e *Entry) Drain() {
+	e.draining.Store(true)
+	if p := e.planner.Load(); p != nil {
+		p.Resign()
+	}
+}
+
+// Draining reports whether the instance is shutting down.
+func (e *Entry) Draining() bool { return e.draining.Load() }
+
+// Ready reports whether the instance can serve callers.
+func (e *Entry) Ready() bool {
+	if e.draining.Load() || !e.Fresh() {
+		return false
+	}
+	_, ok := e.inOffice()
+	return ok
+}
--- /dev/null
+++ b/daisylugd/entry/follow.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"daisylug.example/scheduler/control"
+)
+
+const (
+	// followWait is how long one call waits for a change of the configuration;
+	// each answer confirms that the configuration is the newest.
+	followWait = 800 * time.Millisecond
+	// followRetry is the time between two tries.
+	followRetry = 100 * time.Millisecond
+)
+
+// follow keeps the configuration until ctx ends. It never goes back to an
+// older version.
+func (e *Entry) follow(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		begun := time.Now()
+		next, err := e.services.Source.Next(ctx, e.version(), followWait)
+		if failing != (err != nil) && ctx.Err() == nil {
+			failing = err != nil
+			e.log.Info("configuration source", "available", !failing, "version", e.version(), "error", err)
+		}
+		if err != nil {
+			sleep(ctx, followRetry)
+			continue
+		}
+		confirmed := begun
+		if next != nil {
+			e.adopt(next)
+		} else {
+			// The store looked until the end of the wait.
+			confirmed = begun.Add(min(followWait, time.Since(begun)))
+		}
+		e.confirmed.Store(&confirmed)
+	}
+	return ctx.Err()
+}
+
+func (e *Entry) adopt(next Snapshot) {
+	if next.Catalogue().Version <= e.version() {
+		return
+	}
+	e.log.Info("configuration in force", "version", next.Catalogue().Version, "former", e.version())
+	e.snapshot.Store(&next)
+	e.group.SetConfig(uint64(next.Catalogue().Version))
+	if p := e.planner.Load(); p != nil {
+		p.Wake()
+	}
+}
+
+// version returns the version of the configuration in force, or 0.
+func (e *Entry) version() int64 {
+	if s := e.Snapshot(); s != nil {
+		return s.Catalogue().Version
+	}
+	return 0
+}
+
+// Snapshot returns the configuration in force, or nil.
+func (e *Entry) Snapshot() Snapshot {
+	if s := e.snapshot.Load(); s != nil {
+		return *s
+	}
+	return nil
+}
+
+// catalogue returns the catalogue in force, or nil.
+func (e *Entry) catalogue() *control.Catalogue {
+	if s := e.Snapshot(); s != nil {
+		return s.Catalogue()
+	}
+	return nil
+}
+
+// Fresh reports whether the configuration is recent enough to be acted on.
+func (e *Entry) Fresh() bool {
+	at := e.confirmed.Load()
+	return at != nil && time.Since(*at) <= e.settings.Freshness
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/scheduler/assignment/assignment.go
@@ -0,0 +1,339 @@
+// Package assignment decides which waiting tasks start on which workers. It
+// is a pure function of the view passed to it.
+package assignment
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+)
+
+// Worker is the placement state of a worker.
+type Worker struct {
+	ID      string
+	Service string
+	Rack    string
+	Labels  []string
+	// Capacity is all that the worker has, Free what is not in use.
+	Capacity batch.Resources
+	Free     batch.Resources
+	// Speed is relative to a typical worker, which has 1.
+	Speed float64
+	// Open is set if the worker takes new work.
+	Open bool
+}
+
+// has reports whether the worker has a label; every worker has the empty one.
+func (w *Worker) has(label string) bool {
+	return label == "" || slices.Contains(w.Labels, label)
+}
+
+// Group is the waiting tasks of one step.
+type Group struct {
+	Job        string
+	Occurrence int
+	Step       int
+	// Indexes are the waiting tasks; those of a gang start together.
+	Indexes  []int
+	Need     batch.Resources
+	Gang     bool
+	Adjacent bool
+	Label    string
+	// Rack is where the data is, if it is not empty.
+	Rack string
+	// Spread is the largest number of the step's tasks on one worker, or 0;
+	// Beside counts those that are there already.
+	Spread int
+	Beside map[string]int
+
+	Team     string
+	Service  string
+	Priority int
+	Accepted time.Time
+	// Objective is when the job should be done to count in full.
+	Objective time.Time
+	// Length is the expected time from the start of these tasks to the end of
+	// the job.
+	Length time.Duration
+	// Reclaim is set if the team's guarantee covers the tasks.
+	Reclaim bool
+	// Seats are the workers, by position in the view, on which room is being
+	// made for the tasks.
+	Seats []int
+	// Worth ranks jobs of one priority by what they are worth to their team for
+	// the capacity they use.
+	Worth float64
+}
+
+// total returns what all tasks of the group need.
+func (g *Group) total() batch.Resources { return g.Need.Times(len(g.Indexes)) }
+
+// Start places one task.
+type Start struct {
+	// Group and Worker are positions in the view.
+	Group  int
+	Index  int
+	Worker int
+}
+
+// Running is a run, or all members of a running gang, that can be stopped.
+type Running struct {
+	Job      string
+	Priority int
+	// Borrowed is set if the run is not covered by its team's guarantee.
+	Borrowed bool
+	// Loss is the work that stopping would lose, in core-seconds.
+	Loss float64
+	Room []Room
+}
+
+// Room is what a run occupies on a worker.
+type Room struct {
+	// Worker is a position in the view.
+	Worker int
+	Need   batch.Resources
+}
+
+// View is what a decision depends on.
+type View struct {
+	Now     time.Time
+	Workers []Worker
+	Groups  []Group
+	Running []Running
+}
+
+// Hold keeps room on workers for a group until the stopped runs have ended.
+type Hold struct {
+	// Group is a position in the view, and so are the Seats.
+	Group int
+	Seats []int
+}
+
+// Decision is what to do. Stops are positions in View.Running.
+type Decision struct {
+	Starts []Start
+	Stops  []int
+	Holds  []Hold
+}
+
+// Decide places waiting tasks in the order of rank. It answers a load of gangs
+// of very different sizes and priorities on workers that are mostly full: a
+// small job starts past a large one that does not fit, and a guaranteed job
+// that does not fit takes the room of others.
+func Decide(v View) Decision {
+	d := &decider{view: v, free: make([]batch.Resources, len(v.Workers))}
+	for i := range v.Workers {
+		d.free[i] = v.Workers[i].Free
+	}
+	d.byRack()
+	order := rank(v)
+	for _, g := range order {
+		d.place(g)
+	}
+	return d.result
+}
+
+// Tiers of groups.
+const (
+	// tierOnTime can still meet the objective, tierLate can still be useful,
+	// tierHopeless is too late to be useful.
+	tierOnTime = iota
+	tierLate
+	tierHopeless
+)
+
+// lateFactor is how many times the objective a late result is still useful, by
+// the users' accounting.
+const lateFactor = 3
+
+func (g *Group) tier(now time.Time) int {
+	end := now.Add(g.Length)
+	allowed := g.Objective.Sub(g.Accepted)
+	switch {
+	case !end.After(g.Objective):
+		return tierOnTime
+	case !end.After(g.Accepted.Add(lateFactor * allowed)):
+		return tierLate
+	}
+	return tierHopeless
+}
+
+// rank returns the positions of the groups, most urgent first.
+func rank(v View) []int {
+	order := make([]int, len(v.Groups))
+	tiers := make([]int, len(v.Groups))
+	for i := range order {
+		order[i] = i
+		tiers[i] = v.Groups[i].tier(v.Now)
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := &v.Groups[a], &v.Groups[b]
+		return cmp.Or(
+			-compareBool(x.Reclaim, y.Reclaim),
+			cmp.Compare(tiers[a], tiers[b]),
+			cmp.Compare(x.Priority, y.Priority),
+			x.Accepted.Compare(y.Accepted),
+			cmp.Compare(x.Job, y.Job),
+		)
+	})
+	return order
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// decider holds the state of one decision.
+type decider struct {
+	view View
+	free []batch.Resources
+	// racks lists the open workers of each rack, names in order.
+	racks  map[string][]int
+	names  []string
+	open   []int
+	result Decision
+}
+
+func (d *decider) byRack() {
+	d.racks = map[string][]int{}
+	for i := range d.view.Workers {
+		w := &d.view.Workers[i]
+		if !w.Open {
+			continue
+		}
+		if d.racks[w.Rack] == nil {
+			d.names = append(d.names, w.Rack)
+		}
+		d.racks[w.Rack] = append(d.racks[w.Rack], i)
+		d.open = append(d.open, i)
+	}
+	slices.Sort(d.names)
+}
+
+// place starts the tasks of a group, or nothing of a gang that does not fit.
+func (d *decider) place(position int) {
+	g := &d.view.Groups[position]
+	seats := d.find(g)
+	if seats == nil {
+		if g.Reclaim {
+			d.reclaim(position)
+		}
+		return
+	}
+	for i, w := range seats {
+		d.free[w] = d.free[w].Minus(g.Need)
+		d.result.Starts = append(d.result.Starts, Start{Group: position, Index: g.Indexes[i], Worker: w})
+	}
+}
+
+// find returns a worker for each task of a gang, for as many tasks as fit of
+// other groups, or nil.
+func (d *decider) find(g *Group) []int {
+	if g.Rack != "" && len(d.racks[g.Rack]) > 0 && d.holds(g, d.racks[g.Rack]) {
+		return d.fill(g, d.racks[g.Rack])
+	}
+	if !g.Gang || !g.Adjacent {
+		return d.fill(g, d.open)
+	}
+	best, least, possible := []int(nil), -1, false
+	for _, name := range d.names {
+		workers := d.racks[name]
+		possible = possible || d.holds(g, workers)
+		room := d.room(g, workers)
+		if room < len(g.Indexes) || least >= 0 && room >= least {
+			continue
+		}
+		best, least = workers, room
+	}
+	if best != nil {
+		return d.fill(g, best)
+	}
+	if possible {
+		return nil
+	}
+	return d.fill(g, d.open)
+}
+
+// holds reports whether the workers could take the group if they were empty.
+func (d *decider) holds(g *Group, workers []int) bool {
+	n := 0
+	for _, i := range workers {
+		n += d.seats(g, i, d.view.Workers[i].Capacity)
+	}
+	return n >= len(g.Indexes) || !g.Gang && n > 0
+}
+
+// room returns how many tasks of the group the workers can take now.
+func (d *decider) room(g *Group, workers []int) int {
+	n := 0
+	for _, i := range workers {
+		n += d.seats(g, i, d.free[i])
+	}
+	return n
+}
+
+// seats returns how many tasks of the group fit into free on a worker.
+func (d *decider) seats(g *Group, worker int, free batch.Resources) int {
+	w := &d.view.Workers[worker]
+	if w.Service != g.Service || !w.has(g.Label) {
+		return 0
+	}
+	n := len(g.Indexes)
+	if g.Spread > 0 {
+		n = min(n, g.Spread-g.Beside[w.ID])
+	}
+	n = min(n, quotient(free.MilliCPU, g.Need.MilliCPU))
+	n = min(n, quotient(free.MemoryMB, g.Need.MemoryMB))
+	n = min(n, quotient(free.Accelerators, g.Need.Accelerators))
+	return max(n, 0)
+}
+
+func quotient(free, need int64) int {
+	if need <= 0 {
+		return batchLimit
+	}
+	return int(max(free, 0) / need)
+}
+
+// batchLimit is above the number of tasks of any group.
+const batchLimit = 1 << 20
+
+// fill takes the workers that are left with the least room, fast ones first
+// among equals.
+func (d *decider) fill(g *Group, workers []int) []int {
+	type candidate struct{ worker, seats int }
+	var found []candidate
+	total := 0
+	for _, i := range workers {
+		if n := d.seats(g, i, d.free[i]); n > 0 {
+			found = append(found, candidate{i, n})
+			total += n
+		}
+	}
+	if total == 0 || g.Gang && total < len(g.Indexes) {
+		return nil
+	}
+	slices.SortStableFunc(found, func(a, b candidate) int {
+		x, y := &d.view.Workers[a.worker], &d.view.Workers[b.worker]
+		return cmp.Or(
+			-cmp.Compare(x.Speed, y.Speed),
+			cmp.Compare(d.free[a.worker].Accelerators, d.free[b.worker].Accelerators),
+			cmp.Compare(d.free[a.worker].MilliCPU, d.free[b.worker].MilliCPU),
+		)
+	})
+	seats := make([]int, 0, len(g.Indexes))
+	for _, c := range found {
+		for range min(c.seats, len(g.Indexes)-len(seats)) {
+			seats = append(seats, c.worker)
+		}
+	}
+	return seats
+}
--- /dev/null
+++ b/scheduler/batch/progress.go
@@ -0,0 +1,149 @@
+package batch
+
+import "time"
+
+// TaskState is the state of a task.
+type TaskState int
+
+// States of a task.
+const (
+	// TaskWaiting means that no run of the task exists.
+	TaskWaiting TaskState = iota
+	// TaskPlaced means that a run is or may be on a worker.
+	TaskPlaced
+	TaskDone
+)
+
+// Task is the progress of one task.
+type Task struct {
+	State TaskState
+	// Run is the number of the latest run; the next one is higher.
+	Run    int
+	Worker string
+	// Life is the process of the worker that got the run.
+	Life       int64
+	Checkpoint string
+	// Failures counts the failed runs, FailedRun is the latest one.
+	Failures  int
+	FailedRun int
+}
+
+// Fail counts a failed run once.
+func (t *Task) Fail(run int) {
+	if t.FailedRun < run {
+		t.Failures++
+		t.FailedRun = run
+	}
+}
+
+// JobState is the state of a job as callers see it.
+type JobState int
+
+// States of a job.
+const (
+	JobQueued JobState = iota
+	JobRunning
+	JobDone
+	JobFailed
+	JobCancelled
+)
+
+// Final reports whether the state cannot change any more.
+func (s JobState) Final() bool { return s >= JobDone }
+
+// Progress is what has become of a job. Steps are those of all occurrences in
+// order.
+type Progress struct {
+	State JobState
+	// Ended is when the state became final.
+	Ended time.Time
+	Steps []StepProgress
+}
+
+// StepProgress is the progress of a step of one occurrence.
+type StepProgress struct {
+	Tasks []Task
+	done  int
+}
+
+// NewProgress returns the progress of a job that has not started.
+func NewProgress(j *Job) *Progress {
+	p := &Progress{Steps: make([]StepProgress, j.Rounds()*len(j.Steps))}
+	for i := range p.Steps {
+		p.Steps[i].Tasks = make([]Task, j.Steps[i%len(j.Steps)].Tasks)
+	}
+	return p
+}
+
+// Recount derives the counts after tasks were set directly.
+func (p *Progress) Recount() {
+	for i := range p.Steps {
+		s := &p.Steps[i]
+		s.done = 0
+		for t := range s.Tasks {
+			if s.Tasks[t].State == TaskDone {
+				s.done++
+			}
+		}
+	}
+}
+
+// Step returns the progress of a step of an occurrence, or nil.
+func (p *Progress) Step(j *Job, occurrence, step int) *StepProgress {
+	i := occurrence*len(j.Steps) + step
+	if step >= len(j.Steps) || i >= len(p.Steps) {
+		return nil
+	}
+	return &p.Steps[i]
+}
+
+// Task returns a task, or nil if the job has no such task.
+func (p *Progress) Task(j *Job, id TaskID) *Task {
+	s := p.Step(j, id.Occurrence, id.Step)
+	if s == nil || id.Index >= len(s.Tasks) {
+		return nil
+	}
+	return &s.Tasks[id.Index]
+}
+
+// Done reports whether all tasks of the step are done.
+func (s *StepProgress) Done() bool { return s.done == len(s.Tasks) }
+
+// Placed returns the number of tasks that have a run.
+func (s *StepProgress) Placed() int {
+	n := 0
+	for i := range s.Tasks {
+		if s.Tasks[i].State == TaskPlaced {
+			n++
+		}
+	}
+	return n
+}
+
+// Finish marks a task as done.
+func (s *StepProgress) Finish(index int) {
+	if s.Tasks[index].State != TaskDone {
+		s.Tasks[index].State = TaskDone
+		s.done++
+	}
+}
+
+// Ready reports whether the step's predecessors are done.
+func (p *Progress) Ready(j *Job, occurrence, step int) bool {
+	for _, a := range j.Steps[step].After {
+		if !p.Step(j, occurrence, a).Done() {
+			return false
+		}
+	}
+	return true
+}
+
+// AllDone reports whether every step of every occurrence is done.
+func (p *Progress) AllDone() bool {
+	for i := range p.Steps {
+		if !p.Steps[i].Done() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/scheduler/control/order.go
@@ -0,0 +1,196 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"daisylug.example/scheduler/platform"
+)
+
+const (
+	// orderTimeout is the time for an answer to an order.
+	orderTimeout = 500 * time.Millisecond
+	// orderRetry is the time between two tries of an order without an answer.
+	orderRetry = 50 * time.Millisecond
+	// orderRetryLast is the same once a worker is silent.
+	orderRetryLast = 500 * time.Millisecond
+	// orderTries is the number of tries after which it counts as silent.
+	orderTries = 3
+)
+
+// order starts a stored run and repeats the order until its outcome is known.
+func (p *Planner) order(pl *placement) {
+	for try := 0; ; try++ {
+		p.mu.Lock()
+		if pl.phase != phaseOrdered || pl.worker.placements[pl.id] != pl || p.lost {
+			p.mu.Unlock()
+			return
+		}
+		w := pl.worker
+		now := time.Now()
+		w.extend(now, p.Timing.Lease)
+		o := platform.StartOrder{
+			Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(),
+			Lease: w.lease(now, p.Timing.Lease), Payload: pl.job.spec.Payload, Checkpoint: pl.checkpoint,
+		}
+		runner := w.runner
+		p.mu.Unlock()
+
+		ctx, cancel := context.WithTimeout(p.ctx, orderTimeout)
+		clock, err := runner.Start(ctx, o)
+		cancel()
+		if p.startAnswered(pl, clock, err) || !p.pause(try) {
+			return
+		}
+	}
+}
+
+// pause waits before the next try of an order, and reports whether the term
+// goes on.
+func (p *Planner) pause(try int) bool {
+	d := orderRetry
+	if try >= orderTries {
+		d = orderRetryLast
+	}
+	select {
+	case <-p.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// startAnswered takes over the answer to a start and reports whether the
+// outcome is known.
+func (p *Planner) startAnswered(pl *placement, clock time.Duration, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := pl.worker
+	if pl.phase != phaseOrdered || w.placements[pl.id] != pl {
+		return true
+	}
+	now := time.Now()
+	var (
+		full     *platform.FullError
+		sick     *platform.SickError
+		old      *platform.OldRunError
+		late     *platform.LateError
+		fenced   *platform.FencedError
+		reborn   *platform.RebornError
+		rejected *platform.RejectedError
+	)
+	switch {
+	case err == nil:
+		w.setClock(clock, now)
+		p.confirm(pl, now)
+		w.nudge()
+		return true
+	case errors.As(err, &late):
+		w.setClock(late.Clock, now)
+		return false
+	case errors.As(err, &full), errors.As(err, &old), errors.As(err, &sick), errors.As(err, &rejected), errors.As(err, &reborn):
+		p.Log.Info("start refused", "task", pl.id, "run", pl.run, "worker", w.info.ID, "error", err)
+		p.bar(w, err.Error())
+		p.release(pl)
+		if pl.step.Gang {
+			p.stopGang(pl)
+		}
+		w.nudge()
+		return true
+	case errors.As(err, &fenced):
+		p.Log.Info("start fenced", "task", pl.id, "run", pl.run, "worker", w.info.ID)
+		return false
+	}
+	w.nudge()
+	return false
+}
+
+// stop orders the end of a run. The caller holds the lock.
+func (p *Planner) stop(pl *placement) {
+	switch pl.phase {
+	case phaseStopping:
+		return
+	case phaseReserved:
+		p.release(pl)
+		return
+	}
+	pl.phase = phaseStopping
+	pl.settled = time.Time{}
+	p.group.Go(func() error {
+		p.orderStop(pl)
+		return nil
+	})
+}
+
+// stopGang stops the other members of a gang. The caller holds the lock.
+func (p *Planner) stopGang(pl *placement) {
+	for _, m := range p.members(pl) {
+		if m != pl {
+			p.stop(m)
+		}
+	}
+}
+
+// stopAll stops all runs of a job. The caller holds the lock.
+func (p *Planner) stopAll(j *job) {
+	if j.placed == 0 {
+		return
+	}
+	for _, w := range p.workers {
+		for _, pl := range w.placements {
+			if pl.job == j {
+				p.stop(pl)
+			}
+		}
+	}
+}
+
+// orderStop stops a run and repeats the order until it is answered.
+func (p *Planner) orderStop(pl *placement) {
+	w := pl.worker
+	for try := 0; ; try++ {
+		p.mu.Lock()
+		if w.placements[pl.id] != pl || p.lost {
+			p.mu.Unlock()
+			return
+		}
+		runner := w.runner
+		p.mu.Unlock()
+		err := p.sendStop(runner, platform.Run{Task: pl.id, Number: pl.run})
+		if err == nil {
+			p.mu.Lock()
+			pl.settled = time.Now()
+			p.mu.Unlock()
+			w.nudge()
+			return
+		}
+		if !p.pause(try) {
+			return
+		}
+	}
+}
+
+// stopUnknown stops a run that no job wants, once; the next look finds it
+// again if that fails.
+func (p *Planner) stopUnknown(w *worker, r platform.Run) {
+	p.mu.Lock()
+	runner := w.runner
+	p.mu.Unlock()
+	if err := p.sendStop(runner, r); err != nil {
+		p.Log.Info("unknown run was not stopped", "task", r.Task, "run", r.Number, "worker", w.info.ID, "error", err)
+	}
+}
+
+// sendStop sends one stop. A run that cannot exist any more counts as stopped.
+func (p *Planner) sendStop(runner platform.Runner, r platform.Run) error {
+	ctx, cancel := context.WithTimeout(p.ctx, orderTimeout)
+	defer cancel()
+	_, err := runner.Stop(ctx, platform.StopOrder{Run: r, Generation: p.Term.Generation()})
+	var old *platform.OldRunError
+	var reborn *platform.RebornError
+	if errors.As(err, &old) || errors.As(err, &reborn) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/scheduler/control/outcome.go
@@ -0,0 +1,291 @@
+package control
+
+import (
+	"time"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/queue"
+)
+
+// observe takes over what a worker said in answer to a look begun at the given
+// time. The caller holds the lock.
+func (p *Planner) observe(w *worker, state platform.RunnerState, begun time.Time) {
+	now := time.Now()
+	w.setClock(state.Clock, now)
+	if state.Life != w.life {
+		p.reborn(w, state.Life)
+	}
+	for _, e := range state.Ended {
+		if e.Sequence > w.seen {
+			w.seen = e.Sequence
+			p.ended(w, e)
+		}
+	}
+	present := make(map[batch.TaskID]int, len(state.Running))
+	for _, r := range state.Running {
+		present[r.Task] = r.Number
+		p.runs(w, r, now)
+	}
+	if len(state.Ended) < endsPage {
+		p.checkMissing(w, present, begun)
+	}
+	p.wake()
+}
+
+// reborn notes a new process of a worker. What an earlier one ran is lost.
+func (p *Planner) reborn(w *worker, life int64) {
+	if w.life != 0 {
+		p.Log.Info("worker has restarted", "worker", w.info.ID, "life", life)
+	}
+	w.life = life
+	w.seen, w.told = 0, 0
+	clear(w.outstanding)
+	for _, pl := range w.placements {
+		if t := pl.job.progress.Task(pl.job.spec, pl.id); t.Life != life {
+			p.Log.Info("run lost", "task", pl.id, "run", pl.run, "worker", w.info.ID, "reason", "worker restarted")
+			p.release(pl)
+		}
+	}
+}
+
+// runs takes over a running entry; a run that nobody wants is stopped.
+func (p *Planner) runs(w *worker, r platform.RunningTask, now time.Time) {
+	pl := w.placements[r.Task]
+	if pl == nil || pl.run != r.Number {
+		p.Log.Info("stopping unknown run", "task", r.Task, "run", r.Number, "worker", w.info.ID)
+		p.group.Go(func() error {
+			p.stopUnknown(w, r.Run)
+			return nil
+		})
+		return
+	}
+	pl.missing = 0
+	pl.progress = r.Progress
+	if r.Checkpoint != "" {
+		pl.checkpoint = r.Checkpoint
+	}
+	if pl.phase == phaseOrdered || pl.phase == phaseInherited {
+		p.confirm(pl, now)
+	}
+	if pl.job.progress.State.Final() && pl.job.shown.Final() {
+		p.stop(pl)
+	}
+}
+
+// confirm notes that a run is there. The caller holds the lock.
+func (p *Planner) confirm(pl *placement, now time.Time) {
+	pl.phase = phaseRunning
+	pl.since, pl.settled = now, now
+	if !pl.job.started {
+		pl.job.started = true
+		p.meters.wait(pl.job.spec.Team).Update(now.Sub(pl.job.spec.Accepted).Seconds())
+	}
+	if pl.job.progress.State == batch.JobQueued {
+		pl.job.progress.State = batch.JobRunning
+		pl.job.shown = batch.JobRunning
+	}
+}
+
+// missingLimit is the number of looks without a run after which it is
+// considered gone; an end can be listed a moment after the run has left.
+const missingLimit = 2
+
+// checkMissing releases runs that the worker does not list. An inherited run
+// that is not listed is fenced by the generation and never starts.
+func (p *Planner) checkMissing(w *worker, present map[batch.TaskID]int, begun time.Time) {
+	for id, pl := range w.placements {
+		if present[id] == pl.run {
+			continue
+		}
+		switch pl.phase {
+		case phaseInherited:
+			p.Log.Info("inherited run is not there", "task", id, "run", pl.run, "worker", w.info.ID)
+			p.release(pl)
+		case phaseRunning, phaseStopping:
+			if pl.settled.IsZero() || begun.Before(pl.settled) {
+				continue
+			}
+			if pl.missing++; pl.missing >= missingLimit {
+				p.Log.Info("run is not there", "task", id, "run", pl.run, "worker", w.info.ID)
+				p.release(pl)
+			}
+		}
+	}
+}
+
+// ended handles the end of a run. The caller holds the lock.
+func (p *Planner) ended(w *worker, e platform.EndedTask) {
+	pl := w.placements[e.Task]
+	if pl == nil || pl.run != e.Number {
+		return
+	}
+	j := pl.job
+	p.meters.end(j.spec.Queue, string(e.How))
+	p.Log.V(1).Info("run ended", "task", e.Task, "run", e.Number, "how", e.How, "worker", w.info.ID, "after", time.Since(pl.since))
+	w.outstanding[e.Sequence] = struct{}{}
+	life := w.life
+	p.touch(j, func() {
+		if w.life == life {
+			delete(w.outstanding, e.Sequence)
+			w.nudge()
+		}
+	})
+	if e.Checkpoint != "" {
+		pl.checkpoint = e.Checkpoint
+	}
+	switch e.How {
+	case platform.EndDone:
+		p.done(pl)
+	case platform.EndFailed:
+		p.failed(pl)
+	default:
+		p.release(pl)
+	}
+	if e.How != platform.EndDone && pl.step.Gang {
+		p.stopGang(pl)
+	}
+}
+
+// done finishes a task, or all tasks of a gang. The caller holds the lock.
+func (p *Planner) done(pl *placement) {
+	j := pl.job
+	w := pl.worker
+	w.fails, w.penalty = 0, 0
+	if pl.checkpoint == "" && !pl.since.IsZero() {
+		p.estimator.Observe("", j.spec.Queue, time.Since(pl.since))
+	}
+	if pl.step.Lasting {
+		p.release(pl)
+		return
+	}
+	s := j.progress.Step(j.spec, pl.id.Occurrence, pl.id.Step)
+	if pl.step.Gang {
+		for _, m := range p.members(pl) {
+			p.free(m)
+		}
+		for i := range s.Tasks {
+			s.Finish(i)
+		}
+	} else {
+		p.free(pl)
+		s.Finish(pl.id.Index)
+	}
+	if j.progress.AllDone() {
+		p.conclude(j, batch.JobDone)
+	}
+}
+
+// members returns the placements of the gang that pl belongs to, pl included.
+func (p *Planner) members(pl *placement) []*placement {
+	j := pl.job
+	s := j.progress.Step(j.spec, pl.id.Occurrence, pl.id.Step)
+	var all []*placement
+	for i := range s.Tasks {
+		id := pl.id
+		id.Index = i
+		w := p.workers[s.Tasks[i].Worker]
+		if w == nil {
+			continue
+		}
+		if m := w.placements[id]; m != nil && m.run == pl.run {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// failed counts a failed run. The caller holds the lock.
+func (p *Planner) failed(pl *placement) {
+	j := pl.job
+	p.release(pl)
+	p.blame(pl)
+	if pl.step.Lasting {
+		return
+	}
+	counted := pl.id
+	if pl.step.Gang {
+		counted.Index = 0
+	}
+	t := j.progress.Task(j.spec, counted)
+	t.Fail(pl.run)
+	if t.Failures >= j.queue.Attempts {
+		p.conclude(j, batch.JobFailed)
+	}
+}
+
+// Distrust of workers on which runs fail.
+const (
+	// penaltyFirst and penaltyLast bound how long a worker gets no tasks after
+	// runs failed on it one after the other.
+	penaltyFirst = 500 * time.Millisecond
+	penaltyLast  = 8 * time.Second
+	// failsFree is the number of failed runs in a row that may be the fault of
+	// the runs themselves.
+	failsFree = 1
+)
+
+// blame counts a failed run against its worker.
+func (p *Planner) blame(pl *placement) {
+	w := pl.worker
+	w.fails++
+	if w.fails > failsFree {
+		p.bar(w, "failed runs")
+	}
+}
+
+// bar gives a worker no tasks for a growing time. The caller holds the lock.
+func (p *Planner) bar(w *worker, reason string) {
+	w.penalty = min(max(2*w.penalty, penaltyFirst), penaltyLast)
+	w.distrust = time.Now().Add(w.penalty)
+	p.Log.Info("worker gets no tasks", "worker", w.info.ID, "reason", reason, "for", w.penalty)
+}
+
+// conclude ends a job; runs that are left are stopped once that is stored.
+func (p *Planner) conclude(j *job, state batch.JobState) {
+	if j.progress.State.Final() {
+		return
+	}
+	j.progress.State = state
+	j.progress.Ended = time.Now()
+	delete(p.live, j.spec.ID)
+	p.meters.duration(j.spec.Team).Update(time.Since(j.spec.Accepted).Seconds())
+	p.Log.Info("job ended", "job", j.spec.ID, "queue", j.spec.Queue, "team", j.spec.Team, "state", int(state), "after", time.Since(j.spec.Accepted))
+	p.touch(j, func() { p.stopAll(j) })
+}
+
+// free removes a placement without a change of its task. The caller holds the
+// lock.
+func (p *Planner) free(pl *placement) {
+	w := pl.worker
+	if w.placements[pl.id] != pl {
+		return
+	}
+	delete(w.placements, pl.id)
+	w.used = w.used.Minus(pl.step.Counted())
+	pl.job.placed--
+}
+
+// release removes a placement; its task waits again. The caller holds the
+// lock.
+func (p *Planner) release(pl *placement) {
+	if pl.worker.placements[pl.id] != pl {
+		return
+	}
+	p.free(pl)
+	t := pl.job.progress.Task(pl.job.spec, pl.id)
+	if t.State != batch.TaskPlaced {
+		return
+	}
+	t.State = batch.TaskWaiting
+	if pl.checkpoint != "" {
+		t.Checkpoint = pl.checkpoint
+	}
+	p.touch(pl.job, nil)
+	p.wake()
+}
+
+// template returns the job for estimates of its run time.
+func (j *job) template(s *batch.Step) queue.Job {
+	return queue.Job{Template: j.spec.Queue, Declared: s.Estimate}
+}
--- /dev/null
+++ b/scheduler/control/planner.go
@@ -0,0 +1,309 @@
+// Package control is the planner of a deployment: it keeps the accepted jobs,
+// decides which tasks run where, commands the workers and stores what must
+// last before anybody acts on it. One instance runs it at a time, for a term.
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/queue"
+	"daisylug.example/scheduler/term"
+)
+
+// Registry lists the workers of the deployment.
+type Registry interface {
+	Workers(ctx context.Context) ([]platform.RunnerInfo, error)
+}
+
+// Dialer connects to a worker.
+type Dialer interface {
+	Runner(info platform.RunnerInfo) platform.Runner
+}
+
+// Timing is what the deployment prescribes.
+type Timing struct {
+	// Lease is the longest lease of a worker.
+	Lease time.Duration
+	// Stop is the longest time that stopping a run takes.
+	Stop time.Duration
+	// Retention is how long the state of an ended job stays readable.
+	Retention time.Duration
+}
+
+// Dependencies are the services that a planner uses.
+type Dependencies struct {
+	Term     *term.Term
+	Store    platform.Store
+	Registry Registry
+	Dialer   Dialer
+	// Catalogue returns the configuration in force, or nil.
+	Catalogue func() *Catalogue
+	Timing    Timing
+	Log       klog.Logger
+	Metrics   *metrics.Set
+}
+
+// MandateTime is how long leases are still renewed without a transaction that
+// confirms the term; with it, work survives a cut of the length that the
+// deployments see.
+const MandateTime = 8 * time.Second
+
+const (
+	// registryInterval is the time between two readings of the registry; with
+	// the reading it stays well below the 2 s in which leaving workers must get
+	// no more work.
+	registryInterval = 500 * time.Millisecond
+	// tickInterval is the time between two checks of leases and due times.
+	tickInterval = 100 * time.Millisecond
+	// batchBytes bounds the values of one transaction; the store takes 1 MB
+	// after encoding.
+	batchBytes = 512 << 10
+	// stalled is how long a transaction may be without an answer before new
+	// jobs are refused instead of waiting behind it.
+	stalled = 700 * time.Millisecond
+)
+
+// Planner decides for all workers during one term.
+type Planner struct {
+	Dependencies
+	begun time.Time
+	group *errgroup.Group
+	ctx   context.Context
+
+	mu      sync.Mutex
+	jobs    map[string]*job
+	live    map[string]*job
+	workers map[string]*worker
+	dirty   []*job
+	// committing is when the transaction in progress began, or zero.
+	committing time.Time
+	// lost is set when the term is over, resigning when it should end.
+	lost       bool
+	resigning  bool
+	estimator  *queue.Estimator
+	kick       chan struct{}
+	meters     *meters
+}
+
+// job is an accepted job.
+type job struct {
+	spec       *batch.Job
+	queue      Queue
+	guaranteed int64
+	progress   *batch.Progress
+	// shown is the stored state.
+	shown  batch.JobState
+	stored bool
+	dirty  bool
+	// after are called when the changes so far are stored.
+	after []func()
+	// placed counts the job's placements.
+	placed  int
+	started bool
+	// seats are the workers on which room is being made, by step, until held.
+	seats map[int]seats
+}
+
+// seats is room that is being made for a step.
+type seats struct {
+	workers []string
+	until   time.Time
+}
+
+// New returns the planner of a term.
+func New(d Dependencies) *Planner {
+	return &Planner{
+		Dependencies: d,
+		begun:        time.Now(),
+		jobs:         map[string]*job{},
+		live:         map[string]*job{},
+		workers:      map[string]*worker{},
+		estimator:    queue.NewEstimator(),
+		kick:         make(chan struct{}, 1),
+		meters:       newMeters(d.Metrics),
+	}
+}
+
+// Run plans until the term or ctx ends. Load comes first.
+func (p *Planner) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	p.mu.Lock()
+	p.group, p.ctx = group, ctx
+	p.adopt()
+	p.mu.Unlock()
+	group.Go(func() error { return p.commit(ctx) })
+	group.Go(func() error { return p.follow(ctx) })
+	group.Go(func() error { return p.watch(ctx) })
+	err := group.Wait()
+	p.mu.Lock()
+	p.lost = true
+	p.mu.Unlock()
+	return err
+}
+
+// Resign ends the term after the transaction in progress and leaves the office
+// vacant.
+func (p *Planner) Resign() {
+	p.mu.Lock()
+	p.resigning = true
+	p.mu.Unlock()
+	p.wake()
+}
+
+// Wake makes the planner decide again.
+func (p *Planner) Wake() { p.wake() }
+
+// wake asks for a decision and a transaction.
+func (p *Planner) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// touch marks a job as changed; after is called once the change is stored.
+// The caller holds the lock.
+func (p *Planner) touch(j *job, after func()) {
+	if after != nil {
+		j.after = append(j.after, after)
+	}
+	if !j.dirty {
+		j.dirty = true
+		p.dirty = append(p.dirty, j)
+	}
+}
+
+// commit decides, stores the changes and lets their effects happen, until the
+// term ends.
+func (p *Planner) commit(ctx context.Context) error {
+	renew := time.NewTimer(term.Renewal)
+	defer renew.Stop()
+	for {
+		renewing := false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.kick:
+		case <-renew.C:
+			renewing = true
+		}
+		p.mu.Lock()
+		if p.resigning {
+			p.lost = true
+			p.mu.Unlock()
+			return p.Term.Resign(ctx)
+		}
+		p.decide(time.Now())
+		writes, after := p.collect()
+		if len(writes) == 0 && !renewing {
+			p.mu.Unlock()
+			continue
+		}
+		p.committing = time.Now()
+		p.mu.Unlock()
+		err := p.Term.Commit(ctx, writes, nil)
+		p.mu.Lock()
+		p.meters.commit.UpdateDuration(p.committing)
+		p.committing = time.Time{}
+		if err == nil {
+			for _, f := range after {
+				f()
+			}
+		}
+		more := len(p.dirty) > 0
+		p.mu.Unlock()
+		if err != nil {
+			var deposed *term.DeposedError
+			if errors.As(err, &deposed) {
+				p.Log.Info("term ended", "generation", p.Term.Generation(), "successor", deposed.By.Name, "successorgeneration", deposed.By.Generation)
+			}
+			return err
+		}
+		if more || len(after) > 0 {
+			p.wake()
+		}
+		renew.Reset(term.Renewal)
+	}
+}
+
+// collect takes the changed jobs, as many as one transaction holds. The caller
+// holds the lock.
+func (p *Planner) collect() ([]platform.StoredRow, []func()) {
+	var writes []platform.StoredRow
+	var after []func()
+	size, taken := 0, 0
+	for _, j := range p.dirty {
+		rows, err := j.writes()
+		if err != nil {
+			p.Log.Error(err, "job cannot be encoded", "job", j.spec.ID)
+			taken++
+			continue
+		}
+		for i := range rows {
+			size += len(rows[i].Value)
+		}
+		if len(writes)+len(rows) > term.MaxChanges || size > batchBytes && len(writes) > 0 {
+			break
+		}
+		taken++
+		writes = append(writes, rows...)
+		state := j.progress.State
+		after = append(after, func() {
+			j.stored = true
+			j.shown = state
+		})
+		after = append(after, j.after...)
+		j.after, j.dirty = nil, false
+	}
+	p.dirty = slices.Delete(p.dirty, 0, taken)
+	return writes, after
+}
+
+// follow reads the registry until ctx ends.
+func (p *Planner) follow(ctx context.Context) error {
+	tick := time.NewTicker(registryInterval)
+	defer tick.Stop()
+	failing := false
+	for {
+		list, err := p.Registry.Workers(ctx)
+		if err == nil {
+			p.register(list)
+		}
+		if failing != (err != nil) && ctx.Err() == nil {
+			failing = err != nil
+			p.Log.Info("registry of workers", "available", !failing, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// watch checks leases and due times until ctx ends.
+func (p *Planner) watch(ctx context.Context) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		p.mu.Lock()
+		p.expire(time.Now())
+		p.mu.Unlock()
+		p.wake()
+	}
+}
--- /dev/null
+++ b/scheduler/control/record.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/term"
+)
+
+// Tables of the planner.
+const (
+	jobTable      = "job"
+	progressTable = "progress"
+)
+
+func jobKey(id string) platform.RowKey {
+	return platform.RowKey{Table: jobTable, Part: term.Part, Key: id}
+}
+
+func progressKey(id string) platform.RowKey {
+	return platform.RowKey{Table: progressTable, Part: term.Part, Key: id}
+}
+
+// EncodeJob returns the record of a job under the policy of its queue.
+func EncodeJob(j *batch.Job, q Queue, guaranteed int64) *schema.Batch {
+	r := &schema.Batch{
+		Id: j.ID, Queue: j.Queue, Team: j.Team, Payload: j.Payload,
+		Accepted: j.Accepted.UnixMilli(), Interval: j.Interval.Milliseconds(), Occurrences: int32(j.Occurrences),
+		Policy: &schema.Policy{
+			Service: q.Service, Priority: int32(q.Priority), Attempts: int32(q.Attempts),
+			Stretch: q.Stretch, Target: q.Target.Milliseconds(), Guaranteed: guaranteed,
+		},
+	}
+	if j.Occurrences > 0 {
+		r.First = j.First.UnixMilli()
+	}
+	for i := range j.Steps {
+		r.Steps = append(r.Steps, encodeStep(&j.Steps[i]))
+	}
+	return r
+}
+
+func encodeStep(s *batch.Step) *schema.BatchStep {
+	r := &schema.BatchStep{
+		Tasks: int32(s.Tasks), Cpu: s.Need.MilliCPU, Memory: s.Need.MemoryMB, Accelerators: s.Need.Accelerators,
+		Estimate: s.Estimate.Milliseconds(), Gang: s.Gang, Adjacent: s.Adjacent, Checkpoints: s.Checkpoints,
+		Label: s.Label, Rack: s.Rack, Spread: int32(s.Spread), Lasting: s.Lasting, Away: int32(s.MaxAway),
+		Filler: s.Filler, Duplicates: s.Duplicates, Image: s.Image, Target: s.Target.Milliseconds(),
+	}
+	for _, a := range s.After {
+		r.After = append(r.After, int32(a))
+	}
+	return r
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// DecodeJob returns the job of a record, the policy of its queue and what is
+// guaranteed to its team.
+func DecodeJob(r *schema.Batch) (*batch.Job, Queue, int64) {
+	j := &batch.Job{
+		ID: r.GetId(), Queue: r.GetQueue(), Team: r.GetTeam(), Payload: r.GetPayload(),
+		Accepted: time.UnixMilli(r.GetAccepted()), First: time.UnixMilli(r.GetFirst()),
+		Interval: milliseconds(r.GetInterval()), Occurrences: int(r.GetOccurrences()),
+	}
+	for _, s := range r.GetSteps() {
+		j.Steps = append(j.Steps, decodeStep(s))
+	}
+	p := r.GetPolicy()
+	return j, Queue{
+		Name: r.GetQueue(), Service: p.GetService(), Priority: int(p.GetPriority()), Attempts: int(p.GetAttempts()),
+		Stretch: p.GetStretch(), Target: milliseconds(p.GetTarget()),
+	}, p.GetGuaranteed()
+}
+
+func decodeStep(r *schema.BatchStep) batch.Step {
+	s := batch.Step{
+		Tasks:    int(r.GetTasks()),
+		Need:     batch.Resources{MilliCPU: r.GetCpu(), MemoryMB: r.GetMemory(), Accelerators: r.GetAccelerators()},
+		Estimate: milliseconds(r.GetEstimate()), Gang: r.GetGang(), Adjacent: r.GetAdjacent(),
+		Checkpoints: r.GetCheckpoints(), Label: r.GetLabel(), Rack: r.GetRack(), Spread: int(r.GetSpread()),
+		Lasting: r.GetLasting(), MaxAway: int(r.GetAway()), Filler: r.GetFiller(), Duplicates: r.GetDuplicates(),
+		Image: r.GetImage(), Target: milliseconds(r.GetTarget()),
+	}
+	for _, a := range r.GetAfter() {
+		s.After = append(s.After, int(a))
+	}
+	return s
+}
+
+func encodeProgress(p *batch.Progress) *schema.BatchProgress {
+	r := &schema.BatchProgress{State: int32(p.State), Steps: make([]*schema.StepProgress, len(p.Steps))}
+	if !p.Ended.IsZero() {
+		r.Ended = p.Ended.UnixMilli()
+	}
+	for i := range p.Steps {
+		tasks := make([]*schema.BatchTask, len(p.Steps[i].Tasks))
+		for t := range tasks {
+			k := &p.Steps[i].Tasks[t]
+			tasks[t] = &schema.BatchTask{
+				State: int32(k.State), Run: int32(k.Run), Worker: k.Worker, Life: k.Life,
+				Checkpoint: k.Checkpoint, Failures: int32(k.Failures), Failed: int32(k.FailedRun),
+			}
+		}
+		r.Steps[i] = &schema.StepProgress{Tasks: tasks}
+	}
+	return r
+}
+
+// decodeProgress returns the progress of a job. A record that does not match
+// the job's steps counts as none.
+func decodeProgress(j *batch.Job, r *schema.BatchProgress) *batch.Progress {
+	p := batch.NewProgress(j)
+	p.State = batch.JobState(r.GetState())
+	if r.GetEnded() != 0 {
+		p.Ended = time.UnixMilli(r.GetEnded())
+	}
+	for i, s := range r.GetSteps() {
+		if i >= len(p.Steps) {
+			break
+		}
+		for t, k := range s.GetTasks() {
+			if t >= len(p.Steps[i].Tasks) {
+				break
+			}
+			p.Steps[i].Tasks[t] = batch.Task{
+				State: batch.TaskState(k.GetState()), Run: int(k.GetRun()), Worker: k.GetWorker(), Life: k.GetLife(),
+				Checkpoint: k.GetCheckpoint(), Failures: int(k.GetFailures()), FailedRun: int(k.GetFailed()),
+			}
+		}
+	}
+	p.Recount()
+	return p
+}
+
+// writes returns the rows that store the job, and whether encoding worked.
+func (j *job) writes() ([]platform.StoredRow, error) {
+	progress, err := proto.Marshal(encodeProgress(j.progress))
+	if err != nil {
+		return nil, err
+	}
+	rows := []platform.StoredRow{{RowKey: progressKey(j.spec.ID), Value: progress}}
+	if j.stored {
+		return rows, nil
+	}
+	spec, err := proto.Marshal(EncodeJob(j.spec, j.queue, j.guaranteed))
+	if err != nil {
+		return nil, err
+	}
+	return append(rows, platform.StoredRow{RowKey: jobKey(j.spec.ID), Value: spec}), nil
+}
--- /dev/null
+++ b/scheduler/control/recover.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"context"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/term"
+)
+
+// pageRows is the number of rows read at a time; the store returns at most 500.
+const pageRows = 500
+
+// RecordError reports a stored record that cannot be read.
+type RecordError struct {
+	Key   platform.RowKey
+	Cause error
+}
+
+func (e *RecordError) Error() string {
+	return fmt.Sprintf("record %s/%s: %v", e.Key.Table, e.Key.Key, e.Cause)
+}
+
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// Load reads the stored jobs. It comes before Run.
+func (p *Planner) Load(ctx context.Context) error {
+	progress := map[string]*schema.BatchProgress{}
+	err := p.each(ctx, progressTable, func(r platform.StoredRow) error {
+		m := &schema.BatchProgress{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			return &RecordError{r.RowKey, err}
+		}
+		progress[r.Key] = m
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	err = p.each(ctx, jobTable, func(r platform.StoredRow) error {
+		m := &schema.Batch{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			return &RecordError{r.RowKey, err}
+		}
+		p.restore(m, progress[r.Key])
+		return nil
+	})
+	p.Log.Info("jobs loaded", "generation", p.Term.Generation(), "jobs", len(p.jobs), "live", len(p.live), "error", err)
+	return err
+}
+
+// each calls f for all rows of a table.
+func (p *Planner) each(ctx context.Context, table string, f func(platform.StoredRow) error) error {
+	from := ""
+	for {
+		page, err := p.Store.List(ctx, platform.Range{Table: table, Part: term.Part, From: from, Limit: pageRows})
+		if err != nil {
+			return err
+		}
+		for _, r := range page.Rows {
+			if err := f(r); err != nil {
+				return err
+			}
+			// The next key in byte order.
+			from = r.Key + "\x00"
+		}
+		if !page.More {
+			return nil
+		}
+	}
+}
+
+// restore takes over a stored job.
+func (p *Planner) restore(m *schema.Batch, progress *schema.BatchProgress) {
+	spec, q, guaranteed := DecodeJob(m)
+	j := &job{spec: spec, queue: q, guaranteed: guaranteed, stored: true, seats: map[int]seats{}}
+	if progress == nil {
+		j.progress = batch.NewProgress(spec)
+	} else {
+		j.progress = decodeProgress(spec, progress)
+	}
+	j.shown = j.progress.State
+	p.jobs[spec.ID] = j
+	if !j.progress.State.Final() {
+		p.live[spec.ID] = j
+	}
+}
+
+// adopt creates the placements that the stored jobs imply. Runs of ended jobs
+// are adopted as well, because they occupy room until they are stopped.
+func (p *Planner) adopt() {
+	for _, j := range p.jobs {
+		for i := range j.progress.Steps {
+			s := &j.progress.Steps[i]
+			for t := range s.Tasks {
+				if s.Tasks[t].State != batch.TaskPlaced {
+					continue
+				}
+				j.started = true
+				id := batch.TaskID{Job: j.spec.ID, Occurrence: i / len(j.spec.Steps), Step: i % len(j.spec.Steps), Index: t}
+				p.adoptRun(j, id, &s.Tasks[t])
+			}
+		}
+	}
+}
+
+func (p *Planner) adoptRun(j *job, id batch.TaskID, t *batch.Task) {
+	w := p.workers[t.Worker]
+	if w == nil {
+		w = p.addWorker(platform.RunnerInfo{ID: t.Worker})
+	}
+	pl := &placement{
+		job: j, id: id, step: &j.spec.Steps[id.Step], run: t.Run, worker: w, phase: phaseInherited, checkpoint: t.Checkpoint,
+	}
+	w.placements[id] = pl
+	w.used = w.used.Plus(pl.step.Counted())
+	j.placed++
+}
--- /dev/null
+++ b/scheduler/control/submit.go
@@ -0,0 +1,219 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/term"
+)
+
+// Outcome is the outcome of a call about a job.
+type Outcome int32
+
+// Outcomes of a call.
+const (
+	// OutcomeAccepted means that the job, or its cancellation, is stored.
+	OutcomeAccepted Outcome = iota + 1
+	// OutcomeShown means that State or Count answers the call.
+	OutcomeShown
+	// OutcomeRefused means that the job is not accepted and never runs.
+	OutcomeRefused
+	// OutcomeInvalid means that the job does not make sense.
+	OutcomeInvalid
+	// OutcomeAbsent means that there is no such job.
+	OutcomeAbsent
+	// OutcomeInDoubt means that the call may take effect later.
+	OutcomeInDoubt
+	// OutcomeUnavailable means that nothing was done.
+	OutcomeUnavailable
+)
+
+// Verdict answers a call about a job.
+type Verdict struct {
+	Outcome Outcome
+	State   batch.JobState
+	// Wait is after how long a refused caller may come back.
+	Wait   time.Duration
+	Reason string
+	Count  int
+}
+
+// comeBack is the wait for callers that come while the store does not answer.
+const comeBack = 1 * time.Second
+
+// Submit accepts a job. It returns when the job is stored or ctx ends.
+func (p *Planner) Submit(ctx context.Context, r *schema.Batch) Verdict {
+	spec, q, guaranteed := DecodeJob(r)
+	if err := spec.Validate(); err != nil {
+		return Verdict{Outcome: OutcomeInvalid, Reason: err.Error()}
+	}
+	p.mu.Lock()
+	j := p.jobs[spec.ID]
+	if j == nil {
+		if v := p.refuse(spec, q); v.Outcome != 0 {
+			p.mu.Unlock()
+			return v
+		}
+		j = &job{spec: spec, queue: q, guaranteed: guaranteed, progress: batch.NewProgress(spec), seats: map[int]seats{}}
+		p.jobs[spec.ID] = j
+		p.live[spec.ID] = j
+	}
+	return p.await(ctx, j, j.stored)
+}
+
+// await accepts a call once the job's changes are stored, or at once if they
+// are. The caller holds the lock, which is released.
+func (p *Planner) await(ctx context.Context, j *job, stored bool) Verdict {
+	if stored {
+		p.mu.Unlock()
+		return Verdict{Outcome: OutcomeAccepted}
+	}
+	done := make(chan Verdict, 1)
+	p.touch(j, func() { done <- Verdict{Outcome: OutcomeAccepted} })
+	p.mu.Unlock()
+	p.wake()
+	select {
+	case v := <-done:
+		return v
+	case <-ctx.Done():
+	case <-p.ctx.Done():
+	}
+	return Verdict{Outcome: OutcomeInDoubt, Reason: "the store has not answered"}
+}
+
+// refuse returns a refusal if the job cannot be served. The caller holds the
+// lock.
+func (p *Planner) refuse(spec *batch.Job, q Queue) Verdict {
+	if p.lost {
+		return Verdict{Outcome: OutcomeUnavailable, Reason: "the term has ended"}
+	}
+	if !p.committing.IsZero() && time.Since(p.committing) > stalled {
+		return Verdict{Outcome: OutcomeRefused, Wait: comeBack, Reason: "the store does not answer"}
+	}
+	if len(p.workers) == 0 {
+		return Verdict{Outcome: OutcomeRefused, Wait: comeBack, Reason: "no worker is known yet"}
+	}
+	for i := range spec.Steps {
+		if !p.possible(&spec.Steps[i], q.Service) {
+			return Verdict{Outcome: OutcomeRefused, Wait: comeBack, Reason: "the workers cannot hold a step at once"}
+		}
+	}
+	return Verdict{}
+}
+
+// possible reports whether the listed workers, if they were empty, could hold
+// a task of the step, or all of a gang.
+func (p *Planner) possible(s *batch.Step, service string) bool {
+	need, seats := s.Counted(), 0
+	for _, w := range p.workers {
+		if !w.listed || w.info.Service != service || !need.Fits(w.info.Capacity) {
+			continue
+		}
+		room := w.info.Capacity
+		for n := 0; need.Fits(room) && (s.Spread == 0 || n < s.Spread); n++ {
+			room = room.Minus(need)
+			if seats++; seats >= s.Tasks {
+				return true
+			}
+		}
+	}
+	return seats > 0 && !s.Gang
+}
+
+// Cancel cancels a job. It returns when that is stored or ctx ends.
+func (p *Planner) Cancel(ctx context.Context, queue, id string) Verdict {
+	p.mu.Lock()
+	j, v := p.find(queue, id)
+	if j == nil {
+		p.mu.Unlock()
+		return v
+	}
+	p.conclude(j, batch.JobCancelled)
+	return p.await(ctx, j, j.shown.Final())
+}
+
+// find returns a job, or the verdict that there is none. The caller holds the
+// lock.
+func (p *Planner) find(queue, id string) (*job, Verdict) {
+	if j := p.jobs[id]; j != nil && j.spec.Queue == queue {
+		return j, Verdict{}
+	}
+	if p.lost || p.Term.Age() > term.Lease {
+		return nil, Verdict{Outcome: OutcomeUnavailable, Reason: "another planner may know the job"}
+	}
+	return nil, Verdict{Outcome: OutcomeAbsent}
+}
+
+// State returns the state of a job.
+func (p *Planner) State(queue, id string) Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j, v := p.find(queue, id)
+	switch {
+	case j == nil:
+		return v
+	case !j.stored:
+		return Verdict{Outcome: OutcomeUnavailable, Reason: "the job is not stored yet"}
+	}
+	return Verdict{Outcome: OutcomeShown, State: j.shown}
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (p *Planner) Pending(queue string) Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, j := range p.live {
+		if j.spec.Queue == queue && j.stored && !j.started {
+			n++
+		}
+	}
+	return Verdict{Outcome: OutcomeShown, Count: n}
+}
+
+// ReadState returns the stored state of a job without a planner.
+func ReadState(ctx context.Context, store platform.Store, queue, id string) (Verdict, error) {
+	row, err := readRow(ctx, store, jobKey(id))
+	if err != nil {
+		return Verdict{}, err
+	}
+	if row == nil {
+		return Verdict{Outcome: OutcomeAbsent}, nil
+	}
+	job := &schema.Batch{}
+	if err := proto.Unmarshal(row.Value, job); err != nil {
+		return Verdict{}, &RecordError{row.RowKey, err}
+	}
+	if job.GetQueue() != queue {
+		return Verdict{Outcome: OutcomeAbsent}, nil
+	}
+	row, err = readRow(ctx, store, progressKey(id))
+	if err != nil {
+		return Verdict{}, err
+	}
+	if row == nil {
+		return Verdict{Outcome: OutcomeShown, State: batch.JobQueued}, nil
+	}
+	progress := &schema.BatchProgress{}
+	if err := proto.Unmarshal(row.Value, progress); err != nil {
+		return Verdict{}, &RecordError{row.RowKey, err}
+	}
+	return Verdict{Outcome: OutcomeShown, State: batch.JobState(progress.GetState())}, nil
+}
+
+// readRow returns a row, or nil if there is none.
+func readRow(ctx context.Context, store platform.Store, key platform.RowKey) (*platform.StoredRow, error) {
+	page, err := store.List(ctx, platform.Range{Table: key.Table, Part: key.Part, From: key.Key, Limit: 1})
+	if err != nil {
+		return nil, err
+	}
+	if len(page.Rows) == 0 || page.Rows[0].Key != key.Key {
+		return nil, nil
+	}
+	return &page.Rows[0], nil
+}
--- a/scheduler/member/group.go
+++ b/scheduler/member/group.go
@@ -45,6 +45,8 @@
 	ticked   time.Time
 	begun    time.Time
 	watchers map[chan struct{}]struct{}
+	// whole makes all instances peers of one data centre.
+	whole bool
 	// mute turns vouchers off, for the test that shows what they prevent.
 	mute bool
 }
@@ -92,6 +94,13 @@
 	return func(g *Group) { g.log = l }
 }
 
+// WithWholeMesh keeps a session with every instance at the rate of the own data
+// centre, for deployments in which any instance may have to reach any other at
+// once.
+func WithWholeMesh() Option {
+	return func(g *Group) { g.whole = true }
+}
+
 // Run takes part in the group until ctx ends. It announces nothing when it
 // ends; a graceful shutdown calls Leave first.
 func (g *Group) Run(ctx context.Context) error {
@@ -265,7 +274,7 @@
 func (g *Group) ensure(i platform.Instance, now time.Time) *peer {
 	p := g.peers[i.Name]
 	if p == nil {
-		p = newPeer(i, i.DataCentre == g.self.DataCentre, now)
+		p = newPeer(i, g.whole || i.DataCentre == g.self.DataCentre, now)
 		g.peers[i.Name] = p
 	}
 	return p
--- /dev/null
+++ b/scheduler/platform/runner.go
@@ -0,0 +1,154 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+)
+
+// Runner commands a worker that runs tasks under one lease. It obeys the
+// highest generation that it has seen. Times of a lease are on the worker's
+// own clock, which starts at an arbitrary value.
+type Runner interface {
+	// Start starts a run of a task. Starting a run that is there succeeds. The
+	// errors are *FencedError, *OldRunError, *LateError, *FullError,
+	// *SickError, *RebornError, *RejectedError and *UnknownError.
+	Start(ctx context.Context, s StartOrder) (time.Duration, error)
+
+	// Stop ends a run and bars all runs of the task up to this one. The room is
+	// free when the end is listed.
+	Stop(ctx context.Context, s StopOrder) (time.Duration, error)
+
+	// Hold extends the lease and returns what runs and what has ended.
+	Hold(ctx context.Context, h HoldOrder) (RunnerState, error)
+}
+
+// RunnerInfo describes a worker as it registered itself.
+type RunnerInfo struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Rack       string
+	Labels     []string
+	Capacity   batch.Resources
+	Leaving    bool
+	// Life identifies the process of the worker; it changes with a restart.
+	Life int64
+}
+
+// Run is one numbered start of a task.
+type Run struct {
+	Task   batch.TaskID
+	Number int
+}
+
+// StartOrder starts a run.
+type StartOrder struct {
+	Run
+	Generation uint64
+	// Lease is the end of the worker's lease, on its clock.
+	Lease      time.Duration
+	Payload    string
+	Checkpoint string
+}
+
+// StopOrder stops a run.
+type StopOrder struct {
+	Run
+	Generation uint64
+}
+
+// HoldOrder extends a lease.
+type HoldOrder struct {
+	Generation uint64
+	// Lease is the end of the lease on the worker's clock; zero leaves it.
+	Lease time.Duration
+	// Acknowledged is the number of the last end that is stored durably.
+	Acknowledged int64
+	// Wait is how long the answer may wait for another end.
+	Wait time.Duration
+}
+
+// RunnerState is what a worker says of itself.
+type RunnerState struct {
+	Clock   time.Duration
+	Life    int64
+	Running []RunningTask
+	Ended   []EndedTask
+}
+
+// RunningTask is a run in progress.
+type RunningTask struct {
+	Run
+	Checkpoint string
+	// Progress is the share of the work that is done, from 0 to 1.
+	Progress float64
+}
+
+// EndedTask is a run that has ended and is not acknowledged.
+type EndedTask struct {
+	// Sequence numbers the ends of one life of the worker.
+	Sequence int64
+	Run
+	How        End
+	Checkpoint string
+}
+
+// End tells how a run ended.
+type End string
+
+// Ends of a run.
+const (
+	EndDone    End = "done"
+	EndFailed  End = "failed"
+	EndStopped End = "stopped"
+	EndLapsed  End = "lapsed"
+	// EndBroken means that another member of the gang ended.
+	EndBroken End = "broken"
+	// EndAlone means that the other members of the gang did not come.
+	EndAlone End = "alone"
+)
+
+// FencedError reports an order under a generation that is no longer in force.
+type FencedError struct{ Clock time.Duration }
+
+func (e *FencedError) Error() string { return "worker obeys a higher generation" }
+
+// OldRunError reports a run that is not above one that was stopped or ended.
+type OldRunError struct{ Clock time.Duration }
+
+func (e *OldRunError) Error() string { return "a later run of the task has ended on the worker" }
+
+// LateError reports a start whose lease had ended when it arrived.
+type LateError struct{ Clock time.Duration }
+
+func (e *LateError) Error() string { return "start arrived after the end of its lease" }
+
+// FullError reports a worker without room. Nothing was started.
+type FullError struct{ Clock time.Duration }
+
+func (e *FullError) Error() string { return "worker has no room" }
+
+// SickError reports a worker that takes no work at the moment. Nothing was
+// done.
+type SickError struct{ Status int }
+
+func (e *SickError) Error() string { return fmt.Sprintf("worker is not healthy: status %d", e.Status) }
+
+// RebornError reports that another process answers for the worker.
+type RebornError struct{}
+
+func (e *RebornError) Error() string { return "worker has restarted" }
+
+// RejectedError reports an order that the worker does not understand.
+type RejectedError struct {
+	Status int
+	Reason string
+}
+
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("worker rejected the order: status %d, reason %q", e.Status, e.Reason)
+}
