control: let the leases of silent workers end

A worker that does not answer now gets looks without a lease, and a transaction without an answer is tried again after a limit.

The table of faults in control shows both: three rows failed before, none after.

--- /dev/null
+++ b/scheduler/control/fault_test.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"cmp"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform/memory"
+)
+
+// settle is the time in which the planner has found its workers.
+const settle = 200 * time.Millisecond
+
+func TestFaults(t *testing.T) {
+	one := batch.Step{Tasks: 1, Estimate: 2 * time.Second, Need: batch.Resources{MilliCPU: 1000, Accelerators: 1}}
+	tests := []struct {
+		name string
+		// payload is how long the task runs, 2 s if it is empty.
+		payload string
+		// fault happens while the job runs for a second.
+		fault func(f *floor, p *Planner, stop func()) (*Planner, func())
+		// after is when the state is checked, counted from the fault.
+		after time.Duration
+		want  batch.JobState
+		// starts is the number of starts of the job that must have happened.
+		starts int
+	}{
+		{
+			name:  "none",
+			fault: func(_ *floor, p *Planner, stop func()) (*Planner, func()) { return p, stop },
+			after: 3 * time.Second, want: batch.JobDone, starts: 1,
+		},
+		{
+			name: "another planner takes over",
+			fault: func(f *floor, _ *Planner, stop func()) (*Planner, func()) {
+				stop()
+				return f.planner()
+			},
+			after: 3 * time.Second, want: batch.JobDone, starts: 1,
+		},
+		{
+			name: "a worker restarts",
+			fault: func(f *floor, p *Planner, stop func()) (*Planner, func()) {
+				f.on("j").Restart()
+				return p, stop
+			},
+			after: 6 * time.Second, want: batch.JobDone, starts: 2,
+		},
+		{
+			name: "a worker falls silent", payload: "5s",
+			fault: func(f *floor, p *Planner, stop func()) (*Planner, func()) {
+				f.on("j").SetFaults(memory.Faults{Silent: true})
+				return p, stop
+			},
+			after: 16 * time.Second, want: batch.JobDone, starts: 2,
+		},
+		{
+			name: "a worker falls silent and nothing starts before its lease has ended", payload: "5s",
+			fault: func(f *floor, p *Planner, stop func()) (*Planner, func()) {
+				f.on("j").SetFaults(memory.Faults{Silent: true})
+				return p, stop
+			},
+			after: lease, want: batch.JobRunning, starts: 1,
+		},
+		{
+			name: "a worker is gone and another planner takes over",
+			fault: func(f *floor, _ *Planner, stop func()) (*Planner, func()) {
+				r := f.on("j")
+				stop()
+				f.mu.Lock()
+				delete(f.runners, r.Info.ID)
+				f.mu.Unlock()
+				return f.planner()
+			},
+			after: 22 * time.Second, want: batch.JobDone, starts: 1,
+		},
+		{
+			name: "the store is away while the task ends",
+			fault: func(f *floor, p *Planner, stop func()) (*Planner, func()) {
+				f.store.SetFaults(memory.Faults{Silent: true})
+				time.Sleep(4 * time.Second)
+				f.store.SetFaults(memory.Faults{})
+				return p, stop
+			},
+			after: 3 * time.Second, want: batch.JobDone, starts: 1,
+		},
+		{
+			name: "answers of the store are lost",
+			fault: func(f *floor, p *Planner, stop func()) (*Planner, func()) {
+				f.store.SetFaults(memory.Faults{LostAfter: 0.5})
+				return p, stop
+			},
+			after: 5 * time.Second, want: batch.JobDone, starts: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFloor(t, 8)
+				p, stop := f.planner()
+				time.Sleep(settle)
+				f.submit(p, newJob("j", "later", "a", cmp.Or(tt.payload, "2s"), one))
+				time.Sleep(time.Second)
+				p, stop = tt.fault(f, p, stop)
+				defer stop()
+				time.Sleep(tt.after)
+				f.expect(p, "later", "j", tt.want)
+				if n := f.starts("j"); n != tt.starts {
+					t.Errorf("%d starts, want %d", n, tt.starts)
+				}
+			})
+		})
+	}
+}
--- a/scheduler/control/order.go
+++ b/scheduler/control/order.go
@@ -29,6 +29,14 @@
 		}
 		w := pl.worker
 		now := time.Now()
+		if w.failures >= silentAfter && try > 0 {
+			// The next look that is answered shows whether the run is there.
+			p.mu.Unlock()
+			if !p.pause(try) {
+				return
+			}
+			continue
+		}
 		w.extend(now, p.Timing.Lease)
 		o := platform.StartOrder{
 			Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(),
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -234,15 +234,16 @@
 		return retryInterval
 	}
 	now := time.Now()
-	h := platform.HoldOrder{
-		Generation:   p.Term.Generation(),
-		Lease:        w.lease(now, p.Timing.Lease),
-		Acknowledged: w.acknowledged(),
+	h := platform.HoldOrder{Generation: p.Term.Generation(), Acknowledged: w.acknowledged()}
+	if w.failures < silentAfter {
+		// A silent worker may get this order late, so that its lease would
+		// never surely end if every try extended it.
+		h.Lease = w.lease(now, p.Timing.Lease)
 	}
 	if len(w.placements) > 0 && w.life != 0 && len(w.outstanding) == 0 && w.told == w.acknowledged() {
 		h.Wait = holdWait
 	}
-	if len(w.placements) > 0 {
+	if h.Lease > 0 {
 		w.extend(now, p.Timing.Lease)
 	}
 	runner := w.runner
--- /dev/null
+++ b/scheduler/platform/memory/rows.go
@@ -0,0 +1,132 @@
+package memory
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"daisylug.example/scheduler/platform"
+)
+
+// Rows is a view of an in-memory platform.Store.
+type Rows struct {
+	*Injector
+	content *rowContent
+}
+
+var _ platform.Store = (*Rows)(nil)
+
+// rowContent is what all views of a store share.
+type rowContent struct {
+	mu      sync.Mutex
+	version int64
+	rows    map[platform.RowKey]platform.StoredRow
+	changed chan struct{}
+}
+
+// NewRows returns the first view of an empty store.
+func NewRows(seed uint64) *Rows {
+	return &Rows{
+		Injector: NewInjector("store", seed),
+		content:  &rowContent{rows: map[platform.RowKey]platform.StoredRow{}, changed: make(chan struct{})},
+	}
+}
+
+// View returns another view of the store, with faults of its own.
+func (r *Rows) View(seed uint64) *Rows {
+	return &Rows{Injector: NewInjector("store", seed), content: r.content}
+}
+
+// Apply implements platform.Store.
+func (r *Rows) Apply(ctx context.Context, b platform.Batch) (int64, error) {
+	return call(ctx, r.Injector, true, func() (int64, error) { return r.content.apply(b) })
+}
+
+// List implements platform.Store.
+func (r *Rows) List(ctx context.Context, q platform.Range) (platform.Page, error) {
+	return call(ctx, r.Injector, false, func() (platform.Page, error) { return r.content.list(q), nil })
+}
+
+// Watch implements platform.Store.
+func (r *Rows) Watch(ctx context.Context, table string, after int64, wait time.Duration) (platform.Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, err := call(ctx, r.Injector, false, func() (platform.Page, error) {
+			return r.content.since(table, after), nil
+		})
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		r.content.mu.Lock()
+		changed := r.content.changed
+		r.content.mu.Unlock()
+		select {
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (c *rowContent) apply(b platform.Batch) (int64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var current []platform.StoredRow
+	holds := true
+	for _, g := range b.Guards {
+		row, ok := c.rows[g.RowKey]
+		ok = ok && !row.Deleted
+		if ok {
+			current = append(current, row)
+		}
+		holds = holds && (ok && row.Version == g.Version || !ok && g.Version == 0)
+	}
+	if !holds {
+		return 0, &platform.ChangedError{Rows: current}
+	}
+	c.version++
+	for _, w := range b.Writes {
+		c.rows[w.RowKey] = platform.StoredRow{RowKey: w.RowKey, Version: c.version, Value: bytes.Clone(w.Value)}
+	}
+	for _, k := range b.Removes {
+		c.rows[k] = platform.StoredRow{RowKey: k, Version: c.version, Deleted: true}
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return c.version, nil
+}
+
+func (c *rowContent) list(q platform.Range) platform.Page {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	page := platform.Page{Version: c.version}
+	for _, r := range c.rows {
+		if r.Table == q.Table && r.Part == q.Part && r.Key >= q.From && !r.Deleted {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b platform.StoredRow) int { return cmp.Compare(a.Key, b.Key) })
+	if q.Limit > 0 && len(page.Rows) > q.Limit {
+		page.Rows, page.More = page.Rows[:q.Limit], true
+	}
+	return page
+}
+
+func (c *rowContent) since(table string, after int64) platform.Page {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	page := platform.Page{Version: c.version}
+	for _, r := range c.rows {
+		if r.Table == table && r.Version > after {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b platform.StoredRow) int { return cmp.Compare(a.Version, b.Version) })
+	return page
+}
--- a/scheduler/term/term.go
+++ b/scheduler/term/term.go
@@ -31,6 +31,9 @@
 	// Renewal is the longest time between two transactions of a term, so that
 	// two renewals may be lost within a lease.
 	Renewal = 600 * time.Millisecond
+	// tryTimeout bounds one try of a transaction; it covers the direct way to
+	// the store and one through another instance.
+	tryTimeout = 2500 * time.Millisecond
 	// retryFirst and retryLast bound the time between two tries of a
 	// transaction without an answer.
 	retryFirst = 20 * time.Millisecond
@@ -151,7 +154,9 @@
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryLast
 	for {
 		begun := sinceBoot()
-		version, err := t.office.store.Apply(ctx, batch)
+		try, cancel := context.WithTimeout(ctx, tryTimeout)
+		version, err := t.office.store.Apply(try, batch)
+		cancel()
 		var changed *platform.ChangedError
 		switch {
 		case err == nil:
