--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -39,6 +39,8 @@
 		p.Log.Info("worker has restarted", "worker", w.info.ID, "life", life)
 	}
 	w.life = life
+	// From here on the worker obeys no earlier planner.
+	w.lapse = time.Now().Add(leaseTime(p.Timing.Lease))
 	w.seen, w.told = 0, 0
 	clear(w.outstanding)
 	for _, pl := range w.placements {
