pace: learn worker speeds by comparing tasks of one step

Speeds are learned from the progress of tasks of one step on different workers, since declared run times are off by a factor of 2 and more. Urgent work takes fast workers, other work the slow ones while its objective allows it.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -243,25 +243,72 @@
 	if !g.Gang || !g.Adjacent {
 		return d.fill(g, d.open)
 	}
-	best, least, possible := []int(nil), -1, false
+	var best []int
+	var least rackScore
+	possible := false
 	for _, name := range d.names {
 		workers := d.racks[name]
 		possible = possible || d.holds(g, workers)
-		room := d.room(g, workers)
-		if room < len(g.Indexes) || least >= 0 && room >= least {
+		seats := d.fill(g, workers)
+		if seats == nil {
 			continue
 		}
-		best, least = workers, room
-	}
-	if best != nil {
-		return d.fill(g, best)
+		if s := d.score(g, workers, seats); best == nil || s.less(least) {
+			best, least = seats, s
+		}
 	}
-	if possible {
-		return nil
+	if best != nil || possible {
+		return best
 	}
 	return d.fill(g, d.open)
 }
 
+// rackScore compares racks for a gang: first by how far its slowest worker is
+// from the speed that the gang should get, then by the room that is left.
+type rackScore struct{ speed, room int }
+
+func (s rackScore) less(o rackScore) bool {
+	return cmp.Or(cmp.Compare(s.speed, o.speed), cmp.Compare(s.room, o.room)) < 0
+}
+
+func (d *decider) score(g *Group, workers, seats []int) rackScore {
+	slowest := len(speedSteps)
+	for _, w := range seats {
+		slowest = min(slowest, d.view.Workers[w].speedClass())
+	}
+	return rackScore{speed: d.distance(g, slowest), room: d.room(g, workers)}
+}
+
+// speedSteps separate the classes of speed.
+var speedSteps = [...]float64{0.45, 0.8, 1.25}
+
+// speedClass returns the class of a worker's speed, slow ones first.
+func (w *Worker) speedClass() int {
+	class := 0
+	for _, s := range speedSteps {
+		if w.Speed >= s {
+			class++
+		}
+	}
+	return class
+}
+
+// distance ranks a class of speed for a group, the best first: urgent work
+// takes the fast workers; other work leaves them free as long as the slow ones
+// are fast enough for its objective.
+func (d *decider) distance(g *Group, class int) int {
+	fast := len(speedSteps) - class
+	if g.Priority == 0 || class == 0 {
+		return fast
+	}
+	// A worker of the class below full speed takes about this much longer.
+	const slowFactor = 1.7
+	if d.view.Now.Add(time.Duration(slowFactor * float64(g.Length))).After(g.Objective) {
+		return fast
+	}
+	return class
+}
+
 // holds reports whether the workers could take the group if they were empty.
 func (d *decider) holds(g *Group, workers []int) bool {
 	n := 0
@@ -306,8 +353,8 @@
 // batchLimit is above the number of tasks of any group.
 const batchLimit = 1 << 20
 
-// fill takes the workers that are left with the least room, fast ones first
-// among equals.
+// fill takes the workers of the best class of speed that are left with the
+// least room.
 func (d *decider) fill(g *Group, workers []int) []int {
 	type candidate struct{ worker, seats int }
 	var found []candidate
@@ -324,7 +371,7 @@
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		x, y := &d.view.Workers[a.worker], &d.view.Workers[b.worker]
 		return cmp.Or(
-			-cmp.Compare(x.Speed, y.Speed),
+			cmp.Compare(d.distance(g, x.speedClass()), d.distance(g, y.speedClass())),
 			cmp.Compare(d.free[a.worker].Accelerators, d.free[b.worker].Accelerators),
 			cmp.Compare(d.free[a.worker].MilliCPU, d.free[b.worker].MilliCPU),
 		)
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -56,7 +56,7 @@
 		v.index[w.info.ID] = i
 		v.View.Workers = append(v.View.Workers, assignment.Worker{
 			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: 1, Open: w.open(now),
+			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.paces.Speed(w.info.ID), Open: w.open(now),
 		})
 	}
 	live := p.ordered()
--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/pace"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/queue"
 )
@@ -39,6 +40,7 @@
 		p.Log.Info("worker has restarted", "worker", w.info.ID, "life", life)
 	}
 	w.life = life
+	p.paces.Drop(w.info.ID)
 	// From here on the worker obeys no earlier planner.
 	w.lapse = time.Now().Add(leaseTime(p.Timing.Lease))
 	w.seen, w.told = 0, 0
@@ -63,7 +65,7 @@
 		return
 	}
 	pl.missing = 0
-	pl.progress = r.Progress
+	p.sample(pl, r.Progress, now)
 	if r.Checkpoint != "" {
 		pl.checkpoint = r.Checkpoint
 	}
@@ -75,6 +77,30 @@
 	}
 }
 
+// sampleShare is the progress between two samples of a run.
+const sampleShare = 0.12
+
+// sample compares the progress of a run with that of the step's other tasks.
+// The members of a gang progress together and tell nothing of their workers.
+func (p *Planner) sample(pl *placement, progress float64, now time.Time) {
+	if pl.sampled.IsZero() {
+		pl.sampled, pl.progress = now, progress
+		return
+	}
+	done := progress - pl.progress
+	if done < sampleShare {
+		return
+	}
+	if !pl.step.Gang {
+		p.paces.Observe(pl.stepKey(), pl.worker.info.ID, time.Duration(float64(now.Sub(pl.sampled))/done))
+	}
+	pl.sampled, pl.progress = now, progress
+}
+
+func (pl *placement) stepKey() pace.Step {
+	return pace.Step{Job: pl.id.Job, Occurrence: pl.id.Occurrence, Step: pl.id.Step}
+}
+
 // confirm notes that a run is there. The caller holds the lock.
 func (p *Planner) confirm(pl *placement, now time.Time) {
 	pl.phase = phaseRunning
@@ -155,7 +181,11 @@
 	w := pl.worker
 	w.fails, w.penalty = 0, 0
 	if pl.checkpoint == "" && !pl.since.IsZero() {
-		p.estimator.Observe("", j.spec.Queue, time.Since(pl.since))
+		whole := time.Since(pl.since)
+		if !pl.step.Gang {
+			p.paces.Observe(pl.stepKey(), w.info.ID, whole)
+		}
+		p.estimator.Observe("", j.spec.Queue, time.Duration(float64(whole)*p.paces.Speed(w.info.ID)))
 	}
 	if pl.step.Lasting {
 		p.release(pl)
@@ -251,6 +281,11 @@
 	j.progress.State = state
 	j.progress.Ended = time.Now()
 	delete(p.live, j.spec.ID)
+	for occurrence := range j.spec.Rounds() {
+		for step := range j.spec.Steps {
+			p.paces.Forget(pace.Step{Job: j.spec.ID, Occurrence: occurrence, Step: step})
+		}
+	}
 	p.meters.duration(j.spec.Team).Update(time.Since(j.spec.Accepted).Seconds())
 	p.Log.Info("job ended", "job", j.spec.ID, "queue", j.spec.Queue, "team", j.spec.Team, "state", int(state), "after", time.Since(j.spec.Accepted))
 	p.touch(j, func() { p.stopAll(j) })
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/pace"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/queue"
 	"daisylug.example/scheduler/term"
@@ -88,11 +89,12 @@
 	// committing is when the transaction in progress began, or zero.
 	committing time.Time
 	// lost is set when the term is over, resigning when it should end.
-	lost       bool
-	resigning  bool
-	estimator  *queue.Estimator
-	kick       chan struct{}
-	meters     *meters
+	lost      bool
+	resigning bool
+	estimator *queue.Estimator
+	paces     *pace.Book
+	kick      chan struct{}
+	meters    *meters
 }
 
 // job is an accepted job.
@@ -129,6 +131,7 @@
 		live:         map[string]*job{},
 		workers:      map[string]*worker{},
 		estimator:    queue.NewEstimator(),
+		paces:        pace.New(),
 		kick:         make(chan struct{}, 1),
 		meters:       newMeters(d.Metrics),
 	}
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -76,7 +76,9 @@
 	worker *worker
 	phase  phase
 	// since is when the run was confirmed.
-	since      time.Time
+	since time.Time
+	// sampled is when the progress was last compared with that of others.
+	sampled    time.Time
 	progress   float64
 	checkpoint string
 	// settled is when the latest order was answered; a look that was begun
--- /dev/null
+++ b/scheduler/pace/pace.go
@@ -0,0 +1,99 @@
+// Package pace learns how fast workers are by comparing the tasks of one step
+// on different workers. Declared run times play no part, because they are far
+// off; tasks of one step are alike.
+package pace
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// trust is the weight of the assumption that a worker has speed 1, in
+	// observations.
+	trust = 0.7
+	// memory bounds the weight of former observations, so that a worker that
+	// turns slow is noticed within a few.
+	memory = 6
+	// limit bounds one observation, as a natural logarithm; servers differ by
+	// less than this factor of 20.
+	limit = 3
+)
+
+// Step names a step of one occurrence of a job.
+type Step struct {
+	Job        string
+	Occurrence int
+	Step       int
+}
+
+// Book holds what is known of the workers. It is not safe for concurrent use.
+type Book struct {
+	workers map[string]*mean
+	steps   map[Step]map[string]*mean
+}
+
+// mean is a weighted mean.
+type mean struct{ value, weight float64 }
+
+func (m *mean) add(value, weight, most float64) {
+	m.value = (m.value*m.weight + value*weight) / (m.weight + weight)
+	m.weight = min(m.weight+weight, most)
+}
+
+// New returns a book without observations.
+func New() *Book {
+	return &Book{workers: map[string]*mean{}, steps: map[Step]map[string]*mean{}}
+}
+
+// Observe records that a worker works on a task of a step at a rate at which
+// the whole task takes the given time.
+func (b *Book) Observe(s Step, worker string, whole time.Duration) {
+	if whole <= 0 {
+		return
+	}
+	seen := math.Log(whole.Seconds())
+	at := b.steps[s]
+	if at == nil {
+		at = map[string]*mean{}
+		b.steps[s] = at
+	}
+	if at[worker] == nil {
+		at[worker] = &mean{}
+	}
+	at[worker].add(seen, 1, memory)
+	// The step's own length follows from its tasks on other workers.
+	others := mean{}
+	for w, m := range at {
+		if w != worker {
+			others.add(m.value-b.slowness(w), 1, math.Inf(1))
+		}
+	}
+	if others.weight == 0 {
+		return
+	}
+	w := b.workers[worker]
+	if w == nil {
+		w = &mean{weight: trust}
+		b.workers[worker] = w
+	}
+	residual := min(max(seen-others.value, -limit), limit)
+	w.add(residual, others.weight/(others.weight+1), memory)
+}
+
+// slowness is the logarithm of the factor by which a worker is slow.
+func (b *Book) slowness(worker string) float64 {
+	if m := b.workers[worker]; m != nil {
+		return m.value
+	}
+	return 0
+}
+
+// Speed returns the speed of a worker relative to a typical one, which has 1.
+func (b *Book) Speed(worker string) float64 { return math.Exp(-b.slowness(worker)) }
+
+// Forget drops the observations of a step that has ended.
+func (b *Book) Forget(s Step) { delete(b.steps, s) }
+
+// Drop forgets a worker that has left or restarted.
+func (b *Book) Drop(worker string) { delete(b.workers, worker) }
--- /dev/null
+++ b/scheduler/pace/pace_test.go
@@ -0,0 +1,71 @@
+package pace
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestSpeedsFromUnlikeSteps plays steps whose length is unknown and differs a
+// lot, with tasks that vary by 15 % and more, on workers of three speeds.
+func TestSpeedsFromUnlikeSteps(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	b := New()
+	slowness := map[string]float64{}
+	for i := range 24 {
+		slowness[fmt.Sprint("w", i)] = []float64{0.6, 1, 1.6}[i%3]
+	}
+	for step := range 60 {
+		length := math.Exp(random.NormFloat64()) * 5
+		for range 8 {
+			w := fmt.Sprint("w", random.IntN(24))
+			seconds := length * slowness[w] * math.Exp(0.2*random.NormFloat64())
+			b.Observe(Step{Job: fmt.Sprint(step)}, w, time.Duration(seconds*float64(time.Second)))
+		}
+	}
+	wrong := 0
+	for w, s := range slowness {
+		if got := 1 / b.Speed(w); got < s/1.3 || got > s*1.3 {
+			wrong++
+		}
+	}
+	if wrong > 3 {
+		t.Errorf("%d of 24 workers are more than 30 %% off", wrong)
+	}
+}
+
+// TestSlowdown checks that a worker that turns slow is noticed within a few
+// observations.
+func TestSlowdown(t *testing.T) {
+	b := New()
+	observe := func(step int, whole time.Duration) {
+		s := Step{Job: fmt.Sprint(step)}
+		for _, w := range []string{"a", "b", "c"} {
+			b.Observe(s, w, 5*time.Second)
+		}
+		b.Observe(s, "slow", whole)
+	}
+	for i := range 20 {
+		observe(i, 5*time.Second)
+	}
+	if s := b.Speed("slow"); s < 0.9 {
+		t.Errorf("speed %.2f before the slowdown", s)
+	}
+	for i := range 6 {
+		observe(100+i, 25*time.Second)
+	}
+	if s := b.Speed("slow"); s > 0.5 {
+		t.Errorf("speed %.2f after the slowdown to 0.2", s)
+	}
+}
+
+func TestSingleWorkerTeachesNothing(t *testing.T) {
+	b := New()
+	b.Observe(Step{Job: "j"}, "a", time.Second)
+	b.Observe(Step{Job: "j"}, "a", 9*time.Second)
+	if s := b.Speed("a"); s != 1 {
+		t.Errorf("speed %.2f", s)
+	}
+}
