assignment: rank by priority before lateness; make room seat by seat

Cause: an urgent job that could no longer meet its objective waited behind all other work, and room for a guaranteed job was made by stopping the cheapest runs of the whole rack first, wherever they were. Now each task takes the worker where that loses the least, and two blocked gangs keep the room that they can already use.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -172,8 +172,9 @@
 		x, y := &v.Groups[a], &v.Groups[b]
 		return cmp.Or(
 			-compareBool(x.Reclaim, y.Reclaim),
-			cmp.Compare(tiers[a], tiers[b]),
+			compareBool(tiers[a] == tierHopeless, tiers[b] == tierHopeless),
 			cmp.Compare(x.Priority, y.Priority),
+			cmp.Compare(tiers[a], tiers[b]),
 			x.Accepted.Compare(y.Accepted),
 			cmp.Compare(x.Job, y.Job),
 		)
@@ -199,6 +200,10 @@
 	racks  map[string][]int
 	names  []string
 	open   []int
+	// victimsOf lists the runs that may be stopped on each worker.
+	victimsOf map[int][]int
+	// saved counts the blocked groups for which room is kept.
+	saved  int
 	result Decision
 }
 
@@ -218,13 +223,21 @@
 	slices.Sort(d.names)
 }
 
+// savedGroups is the number of blocked gangs for which room is kept at a time;
+// more would leave too much of it idle.
+const savedGroups = 2
+
 // place starts the tasks of a group, or nothing of a gang that does not fit.
 func (d *decider) place(position int) {
 	g := &d.view.Groups[position]
 	seats := d.find(g)
 	if seats == nil {
-		if g.Reclaim {
+		switch {
+		case g.Reclaim:
 			d.reclaim(position)
+		case g.Gang && d.saved < savedGroups && g.tier(d.view.Now) != tierHopeless:
+			d.saved++
+			d.save(g)
 		}
 		return
 	}
--- a/scheduler/assignment/reclaim.go
+++ b/scheduler/assignment/reclaim.go
@@ -28,6 +28,7 @@
 	for _, r := range best.victims {
 		d.view.Running[r].Borrowed = false
 	}
+	d.victimsOf = nil
 	d.result.Stops = append(d.result.Stops, best.victims...)
 	d.result.Holds = append(d.result.Holds, Hold{Group: position, Seats: best.seats})
 	d.keep(g, best.seats)
@@ -47,8 +48,8 @@
 	return a
 }
 
-// evict returns the runs to stop so that the group fits on the workers, those
-// of the lowest priority and with the least to lose first.
+// evict makes room for one task after the other, each time on the worker where
+// that loses the least work, and returns what to stop.
 func (d *decider) evict(g *Group, workers []int) *plan {
 	if !d.holds(g, workers) {
 		return nil
@@ -56,64 +57,125 @@
 	before := slices.Clone(d.free)
 	defer func() { d.free = before }()
 	p := &plan{}
-	for _, c := range d.candidates(workers) {
-		if d.room(g, workers) >= len(g.Indexes) {
-			break
+	stopped := map[int]bool{}
+	here := map[int]int{}
+	for range g.Indexes {
+		seat, victims, loss := d.cheapestSeat(g, workers, stopped, here)
+		if seat < 0 {
+			return nil
 		}
-		d.release(c, 1)
-		p.victims = append(p.victims, c)
-	}
-	if d.room(g, workers) < len(g.Indexes) {
-		return nil
-	}
-	p.victims = d.needed(g, workers, p.victims)
-	for _, v := range p.victims {
-		p.loss += d.view.Running[v].Loss
+		for _, v := range victims {
+			stopped[v] = true
+			d.release(v)
+		}
+		p.victims = append(p.victims, victims...)
+		p.loss += loss
+		p.seats = append(p.seats, seat)
+		here[seat]++
+		d.free[seat] = d.free[seat].Minus(g.Need)
 	}
-	p.seats = d.fill(g, workers)
 	return p
 }
 
-// candidates returns the borrowed runs on the workers, first victims first.
-func (d *decider) candidates(workers []int) []int {
-	on := make(map[int]bool, len(workers))
+// cheapestSeat returns the worker on which room for one more task loses the
+// least, or -1.
+func (d *decider) cheapestSeat(g *Group, workers []int, stopped map[int]bool, here map[int]int) (int, []int, float64) {
+	best, bestVictims, bestLoss := -1, []int(nil), 0.0
 	for _, w := range workers {
-		on[w] = true
+		at := &d.view.Workers[w]
+		if !at.has(g.Label) || at.Service != g.Service || g.Spread > 0 && g.Beside[at.ID]+here[w] >= g.Spread {
+			continue
+		}
+		victims, loss, ok := d.victims(g, w, stopped)
+		if ok && (best < 0 || loss < bestLoss) {
+			best, bestVictims, bestLoss = w, victims, loss
+		}
+	}
+	return best, bestVictims, bestLoss
+}
+
+// victims returns the runs to stop on a worker so that one task fits, those
+// with the least to lose first.
+func (d *decider) victims(g *Group, worker int, stopped map[int]bool) ([]int, float64, bool) {
+	free := d.free[worker]
+	if g.Need.Fits(free) {
+		return nil, 0, true
+	}
+	var chosen []int
+	loss := 0.0
+	for _, v := range d.borrowed(worker) {
+		if stopped[v] {
+			continue
+		}
+		r := &d.view.Running[v]
+		for _, m := range r.Room {
+			if m.Worker == worker {
+				free = free.Plus(m.Need)
+			}
+		}
+		chosen = append(chosen, v)
+		loss += r.Loss
+		if g.Need.Fits(free) {
+			return chosen, loss, true
+		}
 	}
-	var found []int
-	for i := range d.view.Running {
-		r := &d.view.Running[i]
-		if r.Borrowed && slices.ContainsFunc(r.Room, func(m Room) bool { return on[m.Worker] }) {
-			found = append(found, i)
+	return nil, 0, false
+}
+
+// borrowed returns the runs on a worker that may be stopped, first victims
+// first: urgent ones last, then by what they lose.
+func (d *decider) borrowed(worker int) []int {
+	if d.victimsOf == nil {
+		d.victimsOf = map[int][]int{}
+		for i := range d.view.Running {
+			if !d.view.Running[i].Borrowed {
+				continue
+			}
+			for _, m := range d.view.Running[i].Room {
+				if l := d.victimsOf[m.Worker]; len(l) == 0 || l[len(l)-1] != i {
+					d.victimsOf[m.Worker] = append(l, i)
+				}
+			}
+		}
+		for _, l := range d.victimsOf {
+			slices.SortStableFunc(l, func(a, b int) int {
+				x, y := &d.view.Running[a], &d.view.Running[b]
+				return cmp.Or(compareBool(x.Priority == 0, y.Priority == 0), cmp.Compare(x.Loss, y.Loss))
+			})
 		}
 	}
-	slices.SortStableFunc(found, func(a, b int) int {
-		x, y := &d.view.Running[a], &d.view.Running[b]
-		return cmp.Or(-cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Loss, y.Loss))
-	})
-	return found
+	return d.victimsOf[worker]
 }
 
-// release frees the room of a run, or takes it again if sign is -1.
-func (d *decider) release(running int, sign int) {
+// release frees the room of a run.
+func (d *decider) release(running int) {
 	for _, m := range d.view.Running[running].Room {
-		d.free[m.Worker] = d.free[m.Worker].Plus(m.Need.Times(sign))
+		d.free[m.Worker] = d.free[m.Worker].Plus(m.Need)
 	}
 }
 
-// needed drops the victims without which the group fits as well, the most
-// expensive ones first.
-func (d *decider) needed(g *Group, workers, chosen []int) []int {
-	kept := make([]int, 0, len(chosen))
-	for i := len(chosen) - 1; i >= 0; i-- {
-		d.release(chosen[i], -1)
-		if d.room(g, workers) >= len(g.Indexes) {
-			continue
+// save keeps the room that a blocked group could use on the rack where it
+// lacks the least, so that work of lower rank does not take it.
+func (d *decider) save(g *Group) {
+	var best []int
+	most := 0
+	consider := func(workers []int) {
+		if n := d.room(g, workers); n > most && d.holds(g, workers) {
+			best, most = workers, n
+		}
+	}
+	if g.Adjacent {
+		for _, name := range d.names {
+			consider(d.racks[name])
+		}
+	} else {
+		consider(d.open)
+	}
+	for _, w := range best {
+		for range d.seats(g, w, d.free[w]) {
+			d.free[w] = d.free[w].Minus(g.Need)
 		}
-		d.release(chosen[i], 1)
-		kept = append(kept, chosen[i])
 	}
-	return kept
 }
 
 // keep takes room for a group that waits for stopped runs to end.
--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -150,7 +150,7 @@
 	}
 	j := pl.job
 	p.meters.end(j.spec.Queue, string(e.How))
-	p.Log.V(1).Info("run ended", "task", e.Task, "run", e.Number, "how", e.How, "worker", w.info.ID, "after", time.Since(pl.since))
+	p.Log.V(1).Info("run ended", "task", e.Task, "run", e.Number, "how", e.How, "worker", w.info.ID, "after", pl.ran(time.Now()))
 	w.outstanding[e.Sequence] = struct{}{}
 	life := w.life
 	p.touch(j, func() {
@@ -175,6 +175,14 @@
 	}
 }
 
+// ran returns the time since the run was confirmed.
+func (pl *placement) ran(now time.Time) time.Duration {
+	if pl.since.IsZero() {
+		return 0
+	}
+	return now.Sub(pl.since)
+}
+
 // done finishes a task, or all tasks of a gang. The caller holds the lock.
 func (p *Planner) done(pl *placement) {
 	j := pl.job
