control: keep room for the urgent demand of the last 15 seconds

Cause: urgent gangs waited 0.5 to 1.4 s for others to be stopped, of at most 1.5 s that their objective leaves, and each stop threw work away. Work of lower priority now leaves free what urgent work has needed at the 0.9 quantile of the last 15 s.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -102,6 +102,9 @@
 	Workers []Worker
 	Groups  []Group
 	Running []Running
+	// Reserve is the number of accelerators to keep free for urgent work that
+	// is expected.
+	Reserve int64
 }
 
 // Hold keeps room on workers for a group until the stopped runs have ended.
@@ -197,9 +200,9 @@
 	view View
 	free []batch.Resources
 	// racks lists the open workers of each rack, names in order.
-	racks  map[string][]int
-	names  []string
-	open   []int
+	racks map[string][]int
+	names []string
+	open  []int
 	// victimsOf lists the runs that may be stopped on each worker.
 	victimsOf map[int][]int
 	// saved counts the blocked groups for which room is kept.
@@ -230,6 +233,9 @@
 // place starts the tasks of a group, or nothing of a gang that does not fit.
 func (d *decider) place(position int) {
 	g := &d.view.Groups[position]
+	if g.Priority > 0 && !d.spare(g) {
+		return
+	}
 	seats := d.find(g)
 	if seats == nil {
 		switch {
@@ -242,11 +248,32 @@
 		return
 	}
 	for i, w := range seats {
+		if i > 0 && g.Priority > 0 && !g.Gang && !d.spare(g) {
+			return
+		}
 		d.free[w] = d.free[w].Minus(g.Need)
 		d.result.Starts = append(d.result.Starts, Start{Group: position, Index: g.Indexes[i], Worker: w})
 	}
 }
 
+// spare reports whether the group leaves the reserve free. Urgent work comes
+// in bursts and cannot wait for others to be stopped. Of a group that can
+// start in parts, one task must fit.
+func (d *decider) spare(g *Group) bool {
+	if d.view.Reserve <= 0 {
+		return true
+	}
+	free := int64(0)
+	for _, w := range d.open {
+		free += max(d.free[w].Accelerators, 0)
+	}
+	need := g.Need.Accelerators
+	if g.Gang {
+		need = g.total().Accelerators
+	}
+	return free-need >= d.view.Reserve
+}
+
 // find returns a worker for each task of a gang, for as many tasks as fit of
 // other groups, or nil.
 func (d *decider) find(g *Group) []int {
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -59,6 +59,7 @@
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.paces.Speed(w.info.ID), Open: w.open(now),
 		})
 	}
+	v.View.Reserve = p.demand.reserve(p.urgent())
 	live := p.ordered()
 	covered := p.covered(live)
 	for _, j := range live {
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -93,6 +93,7 @@
 	resigning bool
 	estimator *queue.Estimator
 	paces     *pace.Book
+	demand    demand
 	kick      chan struct{}
 	meters    *meters
 }
@@ -306,6 +307,7 @@
 		}
 		p.mu.Lock()
 		p.expire(time.Now())
+		p.demand.add(p.urgent())
 		p.mu.Unlock()
 		p.wake()
 	}
