control: move runs from leaving workers; tell callers how long an outage has lasted

Cause: runs on leaving workers were lost with them, gangs as a whole, and callers used up their four tries within four seconds of an outage of the store. Runs that will not finish before a worker exits are stopped at once and go on elsewhere; the wait told to callers grows with the outage, up to 4 s.

--- a/daisylugd/entry/follow.go
+++ b/daisylugd/entry/follow.go
@@ -84,6 +84,24 @@
 	return at != nil && time.Since(*at) <= e.settings.Freshness
 }
 
+const (
+	// outageWaitFirst and outageWaitLast bound the wait that callers are told
+	// while the store is away.
+	outageWaitFirst = 1 * time.Second
+	outageWaitLast  = 4 * time.Second
+)
+
+// OutageWait returns after how long a caller may come back while the
+// configuration cannot be confirmed. It grows with the outage, so that the few
+// tries of a caller last through it.
+func (e *Entry) OutageWait() time.Duration {
+	at := e.confirmed.Load()
+	if at == nil {
+		return outageWaitFirst
+	}
+	return min(max(time.Since(*at)-e.settings.Freshness, outageWaitFirst), outageWaitLast)
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/scheduler/control/submit.go
+++ b/scheduler/control/submit.go
@@ -43,8 +43,13 @@
 	Count  int
 }
 
-// comeBack is the wait for callers that come while the store does not answer.
-const comeBack = 1 * time.Second
+// comeBack and comeBackLast bound the wait of callers that come while the store
+// does not answer; it grows with the outage, so that the few tries of a caller
+// last through it.
+const (
+	comeBack     = 1 * time.Second
+	comeBackLast = 4 * time.Second
+)
 
 // Submit accepts a job. It returns when the job is stored or ctx ends.
 func (p *Planner) Submit(ctx context.Context, r *schema.Batch) Verdict {
@@ -93,7 +98,8 @@
 		return Verdict{Outcome: OutcomeUnavailable, Reason: "the term has ended"}
 	}
 	if !p.committing.IsZero() && time.Since(p.committing) > stalled {
-		return Verdict{Outcome: OutcomeRefused, Wait: comeBack, Reason: "the store does not answer"}
+		wait := min(max(time.Since(p.committing), comeBack), comeBackLast)
+		return Verdict{Outcome: OutcomeRefused, Wait: wait, Reason: "the store does not answer"}
 	}
 	if len(p.workers) == 0 {
 		return Verdict{Outcome: OutcomeRefused, Wait: comeBack, Reason: "no worker is known yet"}
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -122,6 +122,9 @@
 		w.info = info
 		w.listed = true
 		w.gone = time.Time{}
+		if info.Leaving {
+			p.evacuate(w, now)
+		}
 	}
 	for id, w := range p.workers {
 		if w.listed {
--- a/scheduler/platform/runner.go
+++ b/scheduler/platform/runner.go
@@ -35,6 +35,9 @@
 	Labels     []string
 	Capacity   batch.Resources
 	Leaving    bool
+	// Remaining is how long a leaving worker still runs at least, when it was
+	// last heard of.
+	Remaining time.Duration
 	// Life identifies the process of the worker; it changes with a restart.
 	Life int64
 }
