--- a/daisylugd/entry/directory.go
+++ b/daisylugd/entry/directory.go
@@ -74,7 +74,7 @@
 	for _, i := range l.Instances {
 		known[i.Name] = true
 	}
-	for _, s := range d.entry.settings.Seeds {
+	for _, s := range *d.entry.seeds.Load() {
 		if !known[s] {
 			l.Instances = append(l.Instances, instance(s, "", ""))
 		}
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -63,6 +63,7 @@
 	snapshot    atomic.Pointer[Snapshot]
 	// confirmed is when the configuration was last known to be the newest.
 	confirmed atomic.Pointer[time.Time]
+	seeds     atomic.Pointer[[]string]
 	planner   atomic.Pointer[control.Planner]
 	draining  atomic.Bool
 }
@@ -73,6 +74,7 @@
 		settings: settings, services: services, log: log, metrics: set,
 		incarnation: uint64(time.Now().UnixMicro()),
 	}
+	e.SetSeeds(settings.Seeds)
 	self := platform.Instance{
 		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: settings.Name, Weight: 1,
 	}
@@ -82,6 +84,9 @@
 	return e
 }
 
+// SetSeeds replaces the addresses of the instances to begin with.
+func (e *Entry) SetSeeds(seeds []string) { e.seeds.Store(&seeds) }
+
 // Run takes part until ctx ends.
 func (e *Entry) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
