--- /dev/null
+++ b/scheduler/assignment/assignment_test.go
@@ -0,0 +1,276 @@
+package assignment
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+)
+
+var now = time.Unix(1000, 0)
+
+// racks returns n racks of 8 idle workers with 64 cores and 8 accelerators.
+func racks(n int) []Worker {
+	var all []Worker
+	for i := range 8 * n {
+		c := batch.Resources{MilliCPU: 64000, MemoryMB: 131072, Accelerators: 8}
+		all = append(all, Worker{
+			ID: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/8), Capacity: c, Free: c, Speed: 1, Open: true,
+		})
+	}
+	return all
+}
+
+// tasks returns a waiting group.
+func tasks(job string, n int, accelerators int64) Group {
+	g := Group{
+		Job: job, Service: "s", Need: batch.Resources{MilliCPU: 5000, MemoryMB: 11000, Accelerators: accelerators},
+		Accepted: now, Objective: now.Add(10 * time.Second), Length: 2 * time.Second,
+	}
+	for i := range n {
+		g.Indexes = append(g.Indexes, i)
+	}
+	return g
+}
+
+func gangOf(job string, n int, accelerators int64) Group {
+	g := tasks(job, n, accelerators)
+	g.Gang, g.Adjacent = true, true
+	return g
+}
+
+// use takes accelerators of a worker.
+func use(w *Worker, n int64) { w.Free.Accelerators -= n }
+
+func (v View) started(d Decision, job string) []Start {
+	var all []Start
+	for _, s := range d.Starts {
+		if v.Groups[s.Group].Job == job {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name  string
+		view  func() View
+		check func(t *testing.T, v View, d Decision)
+	}{
+		{
+			name: "an adjacent gang stays on one rack",
+			view: func() View {
+				v := View{Now: now, Workers: racks(2), Groups: []Group{gangOf("g", 8, 8)}}
+				use(&v.Workers[0], 1)
+				return v
+			},
+			check: func(t *testing.T, v View, d Decision) {
+				starts := v.started(d, "g")
+				if len(starts) != 8 {
+					t.Fatalf("%d starts", len(starts))
+				}
+				for _, s := range starts {
+					if v.Workers[s.Worker].Rack != "r1" {
+						t.Errorf("task on %s", v.Workers[s.Worker].Rack)
+					}
+				}
+			},
+		},
+		{
+			name: "a gang that does not fit starts nothing",
+			view: func() View {
+				v := View{Now: now, Workers: racks(1), Groups: []Group{gangOf("g", 8, 8)}}
+				use(&v.Workers[3], 1)
+				return v
+			},
+			check: func(t *testing.T, _ View, d Decision) {
+				if len(d.Starts) != 0 {
+					t.Errorf("%d starts", len(d.Starts))
+				}
+			},
+		},
+		{
+			name: "a gang wider than a rack is spread",
+			view: func() View { return View{Now: now, Workers: racks(2), Groups: []Group{gangOf("g", 12, 8)}} },
+			check: func(t *testing.T, v View, d Decision) {
+				if n := len(v.started(d, "g")); n != 12 {
+					t.Errorf("%d starts", n)
+				}
+			},
+		},
+		{
+			name: "tasks go to the rack of their data",
+			view: func() View {
+				g := tasks("g", 4, 1)
+				g.Rack = "r1"
+				return View{Now: now, Workers: racks(2), Groups: []Group{g}}
+			},
+			check: func(t *testing.T, v View, d Decision) {
+				for _, s := range v.started(d, "g") {
+					if v.Workers[s.Worker].Rack != "r1" {
+						t.Errorf("task on %s", v.Workers[s.Worker].Rack)
+					}
+				}
+			},
+		},
+		{
+			name: "no more tasks of a step on a worker than allowed",
+			view: func() View {
+				g := tasks("g", 20, 1)
+				g.Spread, g.Beside = 2, map[string]int{"w00": 1}
+				return View{Now: now, Workers: racks(1), Groups: []Group{g}}
+			},
+			check: func(t *testing.T, v View, d Decision) {
+				n := map[int]int{}
+				for _, s := range v.started(d, "g") {
+					n[s.Worker]++
+				}
+				if n[0] > 1 || len(d.Starts) != 15 {
+					t.Errorf("%d on the first worker, %d starts", n[0], len(d.Starts))
+				}
+			},
+		},
+		{
+			name: "a label is required",
+			view: func() View {
+				g := tasks("g", 2, 1)
+				g.Label = "x"
+				v := View{Now: now, Workers: racks(1), Groups: []Group{g}}
+				v.Workers[5].Labels = []string{"x"}
+				return v
+			},
+			check: func(t *testing.T, v View, d Decision) {
+				for _, s := range v.started(d, "g") {
+					if s.Worker != 5 {
+						t.Errorf("task on worker %d", s.Worker)
+					}
+				}
+			},
+		},
+		{
+			name: "urgent work goes first, hopeless work last",
+			view: func() View {
+				hopeless, urgent, other := gangOf("hopeless", 8, 8), gangOf("urgent", 8, 8), gangOf("other", 8, 8)
+				hopeless.Accepted, hopeless.Objective = now.Add(-time.Hour), now.Add(-50*time.Minute)
+				other.Priority = 1
+				return View{Now: now, Workers: racks(1), Groups: []Group{hopeless, other, urgent}}
+			},
+			check: func(t *testing.T, v View, d Decision) {
+				if len(v.started(d, "urgent")) != 8 {
+					t.Error("urgent work waits")
+				}
+			},
+		},
+		{
+			name: "urgent work takes fast workers, other work leaves them",
+			view: func() View {
+				urgent, other := tasks("urgent", 1, 8), tasks("other", 1, 8)
+				other.Priority = 1
+				v := View{Now: now, Workers: racks(1), Groups: []Group{other, urgent}}
+				v.Workers[2].Speed, v.Workers[6].Speed = 1.8, 0.6
+				return v
+			},
+			check: func(t *testing.T, v View, d Decision) {
+				if v.started(d, "urgent")[0].Worker != 2 || v.started(d, "other")[0].Worker != 6 {
+					t.Errorf("starts %v", d.Starts)
+				}
+			},
+		},
+		{
+			name: "room for expected urgent work stays free",
+			view: func() View {
+				other := tasks("other", 64, 1)
+				other.Priority = 2
+				return View{Now: now, Workers: racks(1), Groups: []Group{other}, Reserve: 24}
+			},
+			check: func(t *testing.T, _ View, d Decision) {
+				if len(d.Starts) != 40 {
+					t.Errorf("%d starts", len(d.Starts))
+				}
+			},
+		},
+		{
+			name: "a blocked gang keeps the room that it can use",
+			view: func() View {
+				large, small := gangOf("large", 8, 8), tasks("small", 8, 8)
+				small.Priority = 1
+				v := View{Now: now, Workers: racks(1), Groups: []Group{large, small}}
+				use(&v.Workers[0], 8)
+				return v
+			},
+			check: func(t *testing.T, _ View, d Decision) {
+				if len(d.Starts) != 0 {
+					t.Errorf("%d starts", len(d.Starts))
+				}
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := tt.view()
+			tt.check(t, v, Decide(v))
+		})
+	}
+}
+
+// full returns a view in which borrowed runs of one task fill a rack; the run
+// on worker i would lose i core-seconds.
+func full(g Group) View {
+	v := View{Now: now, Workers: racks(1), Groups: []Group{g}}
+	for i := range v.Workers {
+		use(&v.Workers[i], 8)
+		v.Running = append(v.Running, Running{
+			Job: fmt.Sprint("run", i), Priority: 1, Borrowed: true, Loss: float64(i),
+			Room: []Room{{Worker: i, Need: batch.Resources{Accelerators: 8}}},
+		})
+	}
+	return v
+}
+
+func TestReclaim(t *testing.T) {
+	covered := gangOf("g", 2, 8)
+	covered.Reclaim = true
+
+	t.Run("stops what loses the least and holds the room", func(t *testing.T) {
+		d := Decide(full(covered))
+		if len(d.Stops) != 2 || d.Stops[0] != 0 || d.Stops[1] != 1 || len(d.Holds) != 1 {
+			t.Errorf("stops %v, holds %v", d.Stops, d.Holds)
+		}
+	})
+	t.Run("stops nothing twice for the same group", func(t *testing.T) {
+		g := covered
+		g.Seats = []int{0, 1}
+		if d := Decide(full(g)); len(d.Stops) != 0 {
+			t.Errorf("stops %v", d.Stops)
+		}
+	})
+	t.Run("stops nothing without a guarantee", func(t *testing.T) {
+		if d := Decide(full(gangOf("g", 2, 8))); len(d.Stops) != 0 {
+			t.Errorf("stops %v", d.Stops)
+		}
+	})
+	t.Run("stops nothing that is covered itself", func(t *testing.T) {
+		v := full(covered)
+		for i := range v.Running {
+			v.Running[i].Borrowed = false
+		}
+		if d := Decide(v); len(d.Stops) != 0 {
+			t.Errorf("stops %v", d.Stops)
+		}
+	})
+	t.Run("takes urgent runs last", func(t *testing.T) {
+		half := batch.Resources{Accelerators: 4}
+		g := gangOf("g", 1, 4)
+		g.Reclaim = true
+		v := View{Now: now, Workers: racks(1)[:1], Groups: []Group{g}, Running: []Running{
+			{Job: "urgent", Borrowed: true, Room: []Room{{Worker: 0, Need: half}}},
+			{Job: "other", Priority: 1, Borrowed: true, Loss: 500, Room: []Room{{Worker: 0, Need: half}}},
+		}}
+		use(&v.Workers[0], 8)
+		if d := Decide(v); len(d.Stops) != 1 || d.Stops[0] != 1 {
+			t.Errorf("stops %v", d.Stops)
+		}
+	})
+}
