--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -393,8 +393,18 @@
 // batchLimit is above the number of tasks of any group.
 const batchLimit = 1 << 20
 
+// rackFree returns the free accelerators of the workers by rack.
+func (d *decider) rackFree(workers []int) map[string]int64 {
+	free := map[string]int64{}
+	for _, w := range workers {
+		free[d.view.Workers[w].Rack] += d.free[w].Accelerators
+	}
+	return free
+}
+
 // fill takes the workers of the best class of speed that are left with the
-// least room.
+// least room, on the racks with the least room, so that whole racks stay free
+// for adjacent gangs.
 func (d *decider) fill(g *Group, workers []int) []int {
 	type candidate struct{ worker, seats int }
 	var found []candidate
@@ -408,10 +418,12 @@
 	if total == 0 || g.Gang && total < len(g.Indexes) {
 		return nil
 	}
+	rackFree := d.rackFree(workers)
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		x, y := &d.view.Workers[a.worker], &d.view.Workers[b.worker]
 		return cmp.Or(
 			cmp.Compare(d.distance(g, x.speedClass()), d.distance(g, y.speedClass())),
+			cmp.Compare(rackFree[x.Rack], rackFree[y.Rack]),
 			cmp.Compare(d.free[a.worker].Accelerators, d.free[b.worker].Accelerators),
 			cmp.Compare(d.free[a.worker].MilliCPU, d.free[b.worker].MilliCPU),
 		)
