assignment: spread a gang after a while if most of the room is free

After 1.5 s it takes the room there is, and the room kept for urgent work no longer holds it back. Two rows of the table of decisions, of which the first failed before.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -52,6 +52,8 @@
 	Service  string
 	Priority int
 	Accepted time.Time
+	// Since is when the tasks became ready to start.
+	Since time.Time
 	// Objective is when the job should be done to count in full.
 	Objective time.Time
 	// Length is the expected time from the start of these tasks to the end of
@@ -260,7 +262,7 @@
 // in bursts and cannot wait for others to be stopped. Of a group that can
 // start in parts, one task must fit.
 func (d *decider) spare(g *Group) bool {
-	if d.view.Reserve <= 0 {
+	if d.view.Reserve <= 0 || d.overdue(g) {
 		return true
 	}
 	free := int64(0)
@@ -274,11 +276,33 @@
 	return free-need >= d.view.Reserve
 }
 
+// overdueAfter is how long tasks wait for the best place while there is plenty
+// of room elsewhere.
+const overdueAfter = 1500 * time.Millisecond
+
+// overdue reports whether the tasks should no longer wait for a better place:
+// less than half of the service's capacity is in use, and they fit twice.
+func (d *decider) overdue(g *Group) bool {
+	if d.view.Now.Sub(g.Since) < overdueAfter {
+		return false
+	}
+	var free, all batch.Resources
+	for _, i := range d.open {
+		if w := &d.view.Workers[i]; w.Service == g.Service {
+			free, all = free.Plus(d.free[i]), all.Plus(w.Capacity)
+		}
+	}
+	half := batch.Resources{MilliCPU: all.MilliCPU / 2, MemoryMB: all.MemoryMB / 2, Accelerators: all.Accelerators / 2}
+	return half.Fits(free) && d.room(g, d.open) >= len(g.Indexes) && g.total().Times(2).Fits(free)
+}
+
 // find returns a worker for each task of a gang, for as many tasks as fit of
 // other groups, or nil.
 func (d *decider) find(g *Group) []int {
 	if g.Rack != "" && len(d.racks[g.Rack]) > 0 && d.holds(g, d.racks[g.Rack]) {
-		return d.fill(g, d.racks[g.Rack])
+		if seats := d.fill(g, d.racks[g.Rack]); seats != nil || !d.overdue(g) {
+			return seats
+		}
 	}
 	if !g.Gang || !g.Adjacent {
 		return d.fill(g, d.open)
@@ -297,7 +321,7 @@
 			best, least = seats, s
 		}
 	}
-	if best != nil || possible {
+	if best != nil || possible && !d.overdue(g) {
 		return best
 	}
 	return d.fill(g, d.open)
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -191,6 +191,41 @@
 				}
 			},
 		},
+		{
+			name: "an adjacent gang is spread after a while if most of the room is free",
+			view: func() View {
+				g := gangOf("g", 8, 8)
+				g.Since = now.Add(-2 * time.Second)
+				v := View{Now: now, Workers: racks(3), Groups: []Group{g}, Reserve: 190}
+				for i := 0; i < len(v.Workers); i += 8 {
+					use(&v.Workers[i], 1)
+				}
+				return v
+			},
+			check: func(t *testing.T, _ View, d Decision) {
+				if len(d.Starts) != 8 {
+					t.Errorf("%d starts", len(d.Starts))
+				}
+			},
+		},
+		{
+			name: "an adjacent gang waits for its rack while the workers are busy",
+			view: func() View {
+				g := gangOf("g", 8, 8)
+				g.Since = now.Add(-2 * time.Second)
+				v := View{Now: now, Workers: racks(3), Groups: []Group{g}}
+				for i := 0; i < len(v.Workers); i += 2 {
+					use(&v.Workers[i], 8)
+				}
+				use(&v.Workers[1], 1)
+				return v
+			},
+			check: func(t *testing.T, _ View, d Decision) {
+				if len(d.Starts) != 0 {
+					t.Errorf("%d starts", len(d.Starts))
+				}
+			},
+		},
 		{
 			name: "a blocked gang keeps the room that it can use",
 			view: func() View {
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -39,7 +39,8 @@
 		for _, w := range h.Seats {
 			s.workers = append(s.workers, v.workers[w].info.ID)
 		}
-		v.jobs[h.Group].seats[v.View.Groups[h.Group].Step] = s
+		g := &v.View.Groups[h.Group]
+		v.jobs[h.Group].seats[stepRef{g.Occurrence, g.Step}] = s
 	}
 	p.start(v, d.Starts)
 	p.meters.decide.UpdateDuration(begun)
@@ -177,7 +178,12 @@
 	if s.Spread > 0 {
 		g.Beside = p.beside(j, occurrence, step)
 	}
-	if held, ok := j.seats[step]; ok && v.View.Now.Before(held.until) {
+	ref := stepRef{occurrence, step}
+	if _, ok := j.ready[ref]; !ok {
+		j.ready[ref] = v.View.Now
+	}
+	g.Since = j.ready[ref]
+	if held, ok := j.seats[ref]; ok && v.View.Now.Before(held.until) {
 		for _, id := range held.workers {
 			if i, ok := v.index[id]; ok {
 				g.Seats = append(g.Seats, i)
@@ -271,7 +277,8 @@
 		w.placements[id] = pl
 		w.used = w.used.Plus(pl.step.Counted())
 		j.placed++
-		delete(j.seats, g.Step)
+		delete(j.seats, stepRef{g.Occurrence, g.Step})
+		delete(j.ready, stepRef{g.Occurrence, g.Step})
 		p.touch(j, func() { p.send(pl) })
 	}
 	// The tasks change after the loop, because the run of a gang and its
--- a/scheduler/control/fault_test.go
+++ b/scheduler/control/fault_test.go
@@ -101,7 +101,7 @@
 				f := newFloor(t, 8)
 				p, stop := f.planner()
 				time.Sleep(settle)
-				f.submit(p, newJob("j", "later", "a", cmp.Or(tt.payload, "2s"), one))
+				f.submit(p, batchJob("j", "later", "a", cmp.Or(tt.payload, "2s"), one))
 				time.Sleep(time.Second)
 				p, stop = tt.fault(f, p, stop)
 				defer stop()
--- a/scheduler/control/floor_test.go
+++ b/scheduler/control/floor_test.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// newJob returns a job of one step in the queue of a team.
-func newJob(id, queue, team, payload string, step batch.Step) *batch.Job {
+// batchJob returns a job of one step in the queue of a team.
+func batchJob(id, queue, team, payload string, step batch.Step) *batch.Job {
 	return &batch.Job{
 		ID: id, Queue: queue, Team: team, Payload: payload, Steps: []batch.Step{step}, Accepted: time.Now(),
 	}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -113,8 +113,21 @@
 	// placed counts the job's placements.
 	placed  int
 	started bool
+	// ready is when the waiting tasks of a step became ready to start.
+	ready map[stepRef]time.Time
 	// seats are the workers on which room is being made, by step, until held.
-	seats map[int]seats
+	seats map[stepRef]seats
+}
+
+// stepRef names a step of an occurrence of a job.
+type stepRef struct{ occurrence, step int }
+
+// newJob returns a job with the given progress.
+func newJob(spec *batch.Job, q Queue, guaranteed int64, progress *batch.Progress) *job {
+	return &job{
+		spec: spec, queue: q, guaranteed: guaranteed, progress: progress,
+		ready: map[stepRef]time.Time{}, seats: map[stepRef]seats{},
+	}
 }
 
 // seats is room that is being made for a step.
--- a/scheduler/control/recover.go
+++ b/scheduler/control/recover.go
@@ -77,12 +77,9 @@
 // restore takes over a stored job.
 func (p *Planner) restore(m *schema.Batch, progress *schema.BatchProgress) {
 	spec, q, guaranteed := DecodeJob(m)
-	j := &job{spec: spec, queue: q, guaranteed: guaranteed, stored: true, seats: map[int]seats{}}
-	if progress == nil {
-		j.progress = batch.NewProgress(spec)
-	} else {
-		j.progress = decodeProgress(spec, progress)
-	}
+	// Without a record of its progress the job has not started.
+	j := newJob(spec, q, guaranteed, decodeProgress(spec, progress))
+	j.stored = true
 	j.shown = j.progress.State
 	p.jobs[spec.ID] = j
 	if !j.progress.State.Final() {
--- a/scheduler/control/submit.go
+++ b/scheduler/control/submit.go
@@ -64,7 +64,7 @@
 			p.mu.Unlock()
 			return v
 		}
-		j = &job{spec: spec, queue: q, guaranteed: guaranteed, progress: batch.NewProgress(spec), seats: map[int]seats{}}
+		j = newJob(spec, q, guaranteed, batch.NewProgress(spec))
 		p.jobs[spec.ID] = j
 		p.live[spec.ID] = j
 	}
