--- a/scheduler/term/term.go
+++ b/scheduler/term/term.go
@@ -26,11 +26,12 @@
 
 const (
 	// Lease is how long the row stays unchanged before another instance may
-	// take over; it follows from the 2 s in which work must go on elsewhere.
-	Lease = 2 * time.Second
+	// take over; with the time to notice it stays below the 2 s in which work must
+	// go on elsewhere.
+	Lease = 1500 * time.Millisecond
 	// Renewal is the longest time between two transactions of a term, so that
 	// two renewals may be lost within a lease.
-	Renewal = 600 * time.Millisecond
+	Renewal = 400 * time.Millisecond
 	// tryTimeout bounds one try of a transaction; it covers the direct way to
 	// the store and one through another instance.
 	tryTimeout = 2500 * time.Millisecond
