--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -21,6 +21,8 @@
 	Free     batch.Resources
 	// Speed is relative to a typical worker, which has 1.
 	Speed float64
+	// Known is set if the speed has been learned.
+	Known bool
 	// Open is set if the worker takes new work.
 	Open bool
 }
@@ -417,6 +419,12 @@
 // batchLimit is above the number of tasks of any group.
 const batchLimit = 1 << 20
 
+// teaches reports whether the group would teach the speed of a worker: several
+// tasks that work on their own and are not urgent.
+func (d *decider) teaches(g *Group, w *Worker) bool {
+	return !w.Known && !g.Gang && g.Priority > 0 && len(g.Indexes) > 1
+}
+
 // rackFree returns the free accelerators of the workers by rack.
 func (d *decider) rackFree(workers []int) map[string]int64 {
 	free := map[string]int64{}
@@ -446,6 +454,7 @@
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		x, y := &d.view.Workers[a.worker], &d.view.Workers[b.worker]
 		return cmp.Or(
+			-compareBool(d.teaches(g, x), d.teaches(g, y)),
 			cmp.Compare(d.distance(g, x.speedClass()), d.distance(g, y.speedClass())),
 			cmp.Compare(rackFree[x.Rack], rackFree[y.Rack]),
 			cmp.Compare(d.free[a.worker].Accelerators, d.free[b.worker].Accelerators),
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -57,7 +57,8 @@
 		v.index[w.info.ID] = i
 		v.View.Workers = append(v.View.Workers, assignment.Worker{
 			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.paces.Speed(w.info.ID), Open: w.open(now),
+			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.paces.Speed(w.info.ID),
+			Known: p.paces.Known(w.info.ID), Open: w.open(now),
 		})
 	}
 	v.View.Reserve = p.demand.reserve(p.urgent())
@@ -289,7 +290,8 @@
 		t := j.progress.Task(j.spec, id)
 		pl := w.placements[id]
 		t.State, t.Run, t.Worker, t.Life, t.Checkpoint = batch.TaskPlaced, pl.run, w.info.ID, w.life, pl.checkpoint
-		p.Log.V(1).Info("placed", "task", id, "run", pl.run, "worker", w.info.ID, "waited", v.View.Now.Sub(g.Accepted))
+		p.Log.V(1).Info("placed", "task", id, "run", pl.run, "worker", w.info.ID,
+			"speed", v.View.Workers[s.Worker].Speed, "waited", v.View.Now.Sub(g.Accepted))
 	}
 }
 
--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -78,7 +78,7 @@
 }
 
 // sampleShare is the progress between two samples of a run.
-const sampleShare = 0.12
+const sampleShare = 0.08
 
 // sample compares the progress of a run with that of the step's other tasks.
 // The members of a gang progress together and tell nothing of their workers.
--- a/scheduler/pace/pace.go
+++ b/scheduler/pace/pace.go
@@ -92,6 +92,9 @@
 // Speed returns the speed of a worker relative to a typical one, which has 1.
 func (b *Book) Speed(worker string) float64 { return math.Exp(-b.slowness(worker)) }
 
+// Known reports whether anything has been learned of a worker.
+func (b *Book) Known(worker string) bool { return b.workers[worker] != nil }
+
 // Forget drops the observations of a step that has ended.
 func (b *Book) Forget(s Step) { delete(b.steps, s) }
 
