control: allow for the time in which a worker stops a lapsed run

TestOneRunAtATime plays it in virtual time with renewals whose answers are lost; it fails without the change and passes with it.

--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -335,7 +335,7 @@
 		return
 	}
 	pl.phase = phaseOrdered
-	pl.worker.extend(time.Now(), p.Timing.Lease)
+	p.extend(pl.worker, time.Now())
 	p.group.Go(func() error {
 		p.order(pl)
 		return nil
--- a/scheduler/control/fault_test.go
+++ b/scheduler/control/fault_test.go
@@ -114,3 +114,37 @@
 		})
 	}
 }
+
+// TestOneRunAtATime watches a job while its worker falls silent and lets its
+// runs go on for a while after the end of their lease.
+func TestOneRunAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 8)
+		for _, r := range f.runners {
+			r.Linger = stopTime
+		}
+		p, stop := f.planner()
+		defer stop()
+		time.Sleep(settle)
+		f.submit(p, batchJob("j", "later", "a", "30s", batch.Step{
+			Tasks: 1, Estimate: 20 * time.Second, Need: batch.Resources{MilliCPU: 1000, Accelerators: 1},
+		}))
+		time.Sleep(time.Second)
+		// The last renewals arrive, but their answers do not.
+		f.on("j").SetFaults(memory.Faults{LostAfter: 1})
+		const interval = 20 * time.Millisecond
+		for range int(20 * time.Second / interval) {
+			time.Sleep(interval)
+			running := 0
+			for _, r := range f.runners {
+				running += len(r.Running())
+			}
+			if running > 1 {
+				t.Fatalf("%d runs at %v", running, time.Now().Format("05.000"))
+			}
+		}
+		if n := f.starts("j"); n != 2 {
+			t.Errorf("%d starts", n)
+		}
+	})
+}
--- a/scheduler/control/floor_test.go
+++ b/scheduler/control/floor_test.go
@@ -34,6 +34,9 @@
 // lease is the longest lease of a worker of the floor.
 const lease = 6 * time.Second
 
+// stopTime is the longest time that the end of a run takes.
+const stopTime = 900 * time.Millisecond
+
 // newFloor returns a floor of racks with 8 workers of 64 cores and 8
 // accelerators each.
 func newFloor(t *testing.T, workers int) *floor {
@@ -103,7 +106,7 @@
 	}
 	p := New(Dependencies{
 		Term: seized, Store: f.store, Registry: f, Dialer: f, Catalogue: func() *Catalogue { return f.catalogue },
-		Timing: Timing{Lease: lease, Stop: 900 * time.Millisecond, Retention: time.Minute},
+		Timing: Timing{Lease: lease, Stop: stopTime, Retention: time.Minute},
 		Log:    klog.Background(), Metrics: metrics.NewSet(),
 	})
 	if err := p.Load(ctx); err != nil {
--- a/scheduler/control/order.go
+++ b/scheduler/control/order.go
@@ -37,7 +37,7 @@
 			}
 			continue
 		}
-		w.extend(now, p.Timing.Lease)
+		p.extend(w, now)
 		o := platform.StartOrder{
 			Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(),
 			Lease: w.lease(now, p.Timing.Lease), Payload: pl.job.spec.Payload, Checkpoint: pl.checkpoint,
--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -42,7 +42,7 @@
 	w.life = life
 	p.paces.Drop(w.info.ID)
 	// From here on the worker obeys no earlier planner.
-	w.lapse = time.Now().Add(leaseTime(p.Timing.Lease))
+	w.lapse = time.Now().Add(p.leaseTime())
 	w.seen, w.told = 0, 0
 	clear(w.outstanding)
 	for _, pl := range w.placements {
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -161,12 +161,13 @@
 
 // inheritedLapse is when leases that an earlier planner granted have ended.
 func (p *Planner) inheritedLapse() time.Time {
-	return p.begun.Add(MandateTime + leaseTime(p.Timing.Lease))
+	return p.begun.Add(MandateTime + p.leaseTime())
 }
 
-// leaseTime returns how long a lease may last on a slow clock.
-func leaseTime(lease time.Duration) time.Duration {
-	return lease + time.Duration(clockDrift*float64(lease)) + leaseSlack
+// leaseTime returns how long a run may go on under a lease granted now: on a
+// slow clock, and until the worker has stopped it.
+func (p *Planner) leaseTime() time.Duration {
+	return p.Timing.Lease + time.Duration(clockDrift*float64(p.Timing.Lease)) + leaseSlack + p.Timing.Stop
 }
 
 // open reports whether the worker may get new tasks.
@@ -184,8 +185,8 @@
 }
 
 // extend notes that a lease may be granted from now on.
-func (w *worker) extend(now time.Time, lease time.Duration) {
-	if end := now.Add(leaseTime(lease)); end.After(w.lapse) {
+func (p *Planner) extend(w *worker, now time.Time) {
+	if end := now.Add(p.leaseTime()); end.After(w.lapse) {
 		w.lapse = end
 	}
 }
@@ -249,7 +250,7 @@
 		h.Wait = holdWait
 	}
 	if h.Lease > 0 {
-		w.extend(now, p.Timing.Lease)
+		p.extend(w, now)
 	}
 	runner := w.runner
 	p.mu.Unlock()
--- a/scheduler/platform/memory/runner.go
+++ b/scheduler/platform/memory/runner.go
@@ -17,6 +17,8 @@
 type Runner struct {
 	*Injector
 	Info platform.RunnerInfo
+	// Linger is how long a run goes on after the end of its lease.
+	Linger time.Duration
 
 	mu         sync.Mutex
 	born       time.Time
@@ -85,7 +87,7 @@
 	now := r.clock()
 	for _, p := range r.running {
 		switch {
-		case r.lease > 0 && now > r.lease && p.ends > r.lease:
+		case r.lease > 0 && now > r.lease+r.Linger && p.ends > r.lease+r.Linger:
 			r.end(p, platform.EndLapsed)
 		case now >= p.ends && p.failed:
 			r.end(p, platform.EndFailed)
