assignment: start where room was made for a guaranteed job

Cause: room could be made on several racks, or away from the job's data, and the search for a place then insisted on one rack or on the data's, so that the job waited and more runs were stopped for it. Both rows of the test failed before.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -241,6 +241,9 @@
 		return
 	}
 	seats := d.find(g)
+	if seats == nil && d.freed(g) {
+		seats = g.Seats
+	}
 	if seats == nil {
 		switch {
 		case g.Reclaim:
@@ -260,6 +263,23 @@
 	}
 }
 
+// freed reports whether the room that was being made for the group is there.
+func (d *decider) freed(g *Group) bool {
+	if len(g.Seats) != len(g.Indexes) {
+		return false
+	}
+	need := map[int]batch.Resources{}
+	for _, w := range g.Seats {
+		need[w] = need[w].Plus(g.Need)
+	}
+	for w, n := range need {
+		if !d.view.Workers[w].Open || !n.Fits(d.free[w]) {
+			return false
+		}
+	}
+	return true
+}
+
 // spare reports whether the group leaves the reserve free. Urgent work comes
 // in bursts and cannot wait for others to be stopped. Of a group that can
 // start in parts, one task must fit.
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -281,6 +281,36 @@
 			t.Errorf("stops %v", d.Stops)
 		}
 	})
+	t.Run("starts where room was made, if only there", func(t *testing.T) {
+		tests := map[string]func(g *Group){
+			"spread over racks":    func(g *Group) { g.Gang, g.Adjacent = true, true },
+			"away from their data": func(g *Group) { g.Rack = "r0" },
+		}
+		for name, change := range tests {
+			g := tasks("g", 2, 8)
+			g.Reclaim = true
+			change(&g)
+			v := View{Now: now, Workers: racks(2), Groups: []Group{g}}
+			for i := range v.Workers {
+				// Covered runs occupy all workers but one of each rack, or the
+				// whole rack of the data.
+				if i%8 != 3 || g.Rack != "" && i < 8 {
+					use(&v.Workers[i], 8)
+				}
+			}
+			if g.Rack != "" {
+				use(&v.Workers[9], -8)
+			}
+			seats := []int{3, 11}
+			if g.Rack != "" {
+				seats = []int{9, 11}
+			}
+			v.Groups[0].Seats = seats
+			if d := Decide(v); len(d.Starts) != 2 {
+				t.Errorf("%s: %d starts", name, len(d.Starts))
+			}
+		}
+	})
 	t.Run("stops nothing without a guarantee", func(t *testing.T) {
 		if d := Decide(full(gangOf("g", 2, 8))); len(d.Stops) != 0 {
 			t.Errorf("stops %v", d.Stops)
--- a/scheduler/assignment/reclaim.go
+++ b/scheduler/assignment/reclaim.go
@@ -14,7 +14,10 @@
 		return
 	}
 	var best *plan
-	if g.Adjacent && g.Gang {
+	if g.Rack != "" {
+		best = d.evict(g, d.racks[g.Rack])
+	}
+	if best == nil && g.Adjacent && g.Gang {
 		for _, name := range d.names {
 			best = cheaper(best, d.evict(g, d.racks[name]))
 		}
