--- a/daisylugd/entry/elect.go
+++ b/daisylugd/entry/elect.go
@@ -101,7 +101,8 @@
 	}
 	p := control.New(control.Dependencies{
 		Term: t, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.services.Dialer,
-		Catalogue: e.catalogue, Timing: e.settings.Timing, Log: e.log, Metrics: e.metrics,
+		Catalogue: e.catalogue, Timing: e.settings.Timing,
+		Log: e.log.WithValues("generation", t.Generation()), Metrics: e.metrics,
 	})
 	if err := p.Load(ctx); err != nil {
 		return err
--- a/daisylugd/entry/follow.go
+++ b/daisylugd/entry/follow.go
@@ -80,8 +80,16 @@
 
 // Fresh reports whether the configuration is recent enough to be acted on.
 func (e *Entry) Fresh() bool {
-	at := e.confirmed.Load()
-	return at != nil && time.Since(*at) <= e.settings.Freshness
+	return e.confirmed.Load() != nil && e.ConfirmedAge() <= e.settings.Freshness
+}
+
+// ConfirmedAge returns the time since the configuration was last known to be
+// the newest, or 0 if there is none.
+func (e *Entry) ConfirmedAge() time.Duration {
+	if at := e.confirmed.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return 0
 }
 
 const (
@@ -95,11 +103,7 @@
 // configuration cannot be confirmed. It grows with the outage, so that the few
 // tries of a caller last through it.
 func (e *Entry) OutageWait() time.Duration {
-	at := e.confirmed.Load()
-	if at == nil {
-		return outageWaitFirst
-	}
-	return min(max(time.Since(*at)-e.settings.Freshness, outageWaitFirst), outageWaitLast)
+	return min(max(e.ConfirmedAge()-e.settings.Freshness, outageWaitFirst), outageWaitLast)
 }
 
 // sleep waits for d or until ctx ends.
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -29,8 +30,9 @@
 	v := p.view(now)
 	d := assignment.Decide(v.View)
 	for _, i := range d.Stops {
-		p.Log.Info("stopping run for a guaranteed job", "job", v.View.Running[i].Job, "loss", v.View.Running[i].Loss)
 		for _, pl := range v.runs[i] {
+			p.Log.Info("stopping run for a guaranteed job", "task", pl.id, "run", pl.run, "worker", pl.worker.info.ID,
+				"loss", v.View.Running[i].Loss)
 			p.stop(pl)
 		}
 	}
@@ -43,6 +45,7 @@
 		v.jobs[h.Group].seats[stepRef{g.Occurrence, g.Step}] = s
 	}
 	p.start(v, d.Starts)
+	p.logStarts(v, d.Starts)
 	p.meters.decide.UpdateDuration(begun)
 }
 
@@ -290,8 +293,26 @@
 		t := j.progress.Task(j.spec, id)
 		pl := w.placements[id]
 		t.State, t.Run, t.Worker, t.Life, t.Checkpoint = batch.TaskPlaced, pl.run, w.info.ID, w.life, pl.checkpoint
-		p.Log.V(1).Info("placed", "task", id, "run", pl.run, "worker", w.info.ID,
-			"speed", v.View.Workers[s.Worker].Speed, "waited", v.View.Now.Sub(g.Accepted))
+	}
+}
+
+// logStarts writes one line for each group that starts.
+func (p *Planner) logStarts(v *view, starts []assignment.Start) {
+	for i := 0; i < len(starts); {
+		group := starts[i].Group
+		slowest := math.Inf(1)
+		var on []string
+		for ; i < len(starts) && starts[i].Group == group; i++ {
+			w := &v.View.Workers[starts[i].Worker]
+			slowest = min(slowest, w.Speed)
+			if len(on) == 0 || on[len(on)-1] != w.ID {
+				on = append(on, w.ID)
+			}
+		}
+		g, j := &v.View.Groups[group], v.jobs[group]
+		p.Log.Info("placed", "job", g.Job, "occurrence", g.Occurrence, "step", g.Step, "tasks", len(g.Indexes),
+			"run", j.progress.Step(j.spec, g.Occurrence, g.Step).Tasks[starts[i-1].Index].Run, "workers", on, "slowest", slowest,
+			"covered", g.Reclaim, "ready", v.View.Now.Sub(g.Since), "age", v.View.Now.Sub(g.Accepted), "reserve", v.View.Reserve)
 	}
 }
 
--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -150,7 +150,11 @@
 	}
 	j := pl.job
 	p.meters.end(j.spec.Queue, string(e.How))
-	p.Log.V(1).Info("run ended", "task", e.Task, "run", e.Number, "how", e.How, "worker", w.info.ID, "after", pl.ran(time.Now()))
+	level := 0
+	if e.How == platform.EndDone {
+		level = 1
+	}
+	p.Log.V(level).Info("run ended", "task", e.Task, "run", e.Number, "how", e.How, "worker", w.info.ID, "after", pl.ran(time.Now()))
 	w.outstanding[e.Sequence] = struct{}{}
 	life := w.life
 	p.touch(j, func() {
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -242,7 +242,7 @@
 		if err != nil {
 			var deposed *term.DeposedError
 			if errors.As(err, &deposed) {
-				p.Log.Info("term ended", "generation", p.Term.Generation(), "successor", deposed.By.Name, "successorgeneration", deposed.By.Generation)
+				p.Log.Info("term ended", "successor", deposed.By.Name, "successorgeneration", deposed.By.Generation)
 			}
 			return err
 		}
--- a/scheduler/control/recover.go
+++ b/scheduler/control/recover.go
@@ -49,7 +49,7 @@
 		p.restore(m, progress[r.Key])
 		return nil
 	})
-	p.Log.Info("jobs loaded", "generation", p.Term.Generation(), "jobs", len(p.jobs), "live", len(p.live), "error", err)
+	p.Log.Info("jobs loaded", "jobs", len(p.jobs), "live", len(p.live), "error", err)
 	return err
 }
 
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -285,7 +285,7 @@
 	var fenced *platform.FencedError
 	switch {
 	case errors.As(err, &fenced):
-		p.Log.Info("worker obeys a later planner", "worker", w.info.ID, "generation", p.Term.Generation())
+		p.Log.Info("worker obeys a later planner", "worker", w.info.ID)
 	case w.failures == silentAfter:
 		p.Log.Info("worker does not answer", "worker", w.info.ID, "error", err, "placements", len(w.placements))
 	}
