assignment: wait for runs that end by themselves as soon as a stop would

Cause: runs were stopped for guaranteed jobs moments before their end, since what stopping them loses said nothing of what is left.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -90,6 +90,9 @@
 	Borrowed bool
 	// Loss is the work that stopping would lose, in core-seconds.
 	Loss float64
+	// Soon is set if the run ends by itself about as soon as it could be
+	// stopped.
+	Soon bool
 	Room []Room
 }
 
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -251,13 +251,13 @@
 }
 
 // full returns a view in which borrowed runs of one task fill a rack; the run
-// on worker i would lose i core-seconds.
+// on worker i would lose i + 1 core-seconds.
 func full(g Group) View {
 	v := View{Now: now, Workers: racks(1), Groups: []Group{g}}
 	for i := range v.Workers {
 		use(&v.Workers[i], 8)
 		v.Running = append(v.Running, Running{
-			Job: fmt.Sprint("run", i), Priority: 1, Borrowed: true, Loss: float64(i),
+			Job: fmt.Sprint("run", i), Priority: 1, Borrowed: true, Loss: float64(i + 1),
 			Room: []Room{{Worker: i, Need: batch.Resources{Accelerators: 8}}},
 		})
 	}
@@ -325,6 +325,14 @@
 			t.Errorf("stops %v", d.Stops)
 		}
 	})
+	t.Run("waits for runs that end soon, covered or not", func(t *testing.T) {
+		v := full(covered)
+		v.Running[5].Soon, v.Running[6].Soon, v.Running[6].Borrowed = true, true, false
+		d := Decide(v)
+		if len(d.Stops) != 0 || len(d.Holds) != 1 || d.Holds[0].Seats[0]+d.Holds[0].Seats[1] != 11 {
+			t.Errorf("stops %v, holds %v", d.Stops, d.Holds)
+		}
+	})
 	t.Run("takes urgent runs last", func(t *testing.T) {
 		half := batch.Resources{Accelerators: 4}
 		g := gangOf("g", 1, 4)
--- a/scheduler/assignment/reclaim.go
+++ b/scheduler/assignment/reclaim.go
@@ -28,11 +28,14 @@
 	if best == nil {
 		return
 	}
-	for _, r := range best.victims {
-		d.view.Running[r].Borrowed = false
+	for _, v := range best.victims {
+		r := &d.view.Running[v]
+		if !r.Soon {
+			d.result.Stops = append(d.result.Stops, v)
+		}
+		r.Borrowed, r.Soon = false, false
 	}
 	d.victimsOf = nil
-	d.result.Stops = append(d.result.Stops, best.victims...)
 	d.result.Holds = append(d.result.Holds, Hold{Group: position, Seats: best.seats})
 	d.keep(g, best.seats)
 }
@@ -117,7 +120,9 @@
 			}
 		}
 		chosen = append(chosen, v)
-		loss += r.Loss
+		if !r.Soon {
+			loss += r.Loss
+		}
 		if g.Need.Fits(free) {
 			return chosen, loss, true
 		}
@@ -125,13 +130,14 @@
 	return nil, 0, false
 }
 
-// borrowed returns the runs on a worker that may be stopped, first victims
-// first: urgent ones last, then by what they lose.
+// borrowed returns the runs on a worker whose room can be had, first victims
+// first: those that end soon by themselves, urgent ones last, then by what they
+// lose.
 func (d *decider) borrowed(worker int) []int {
 	if d.victimsOf == nil {
 		d.victimsOf = map[int][]int{}
 		for i := range d.view.Running {
-			if !d.view.Running[i].Borrowed {
+			if !d.view.Running[i].Borrowed && !d.view.Running[i].Soon {
 				continue
 			}
 			for _, m := range d.view.Running[i].Room {
@@ -143,7 +149,11 @@
 		for _, l := range d.victimsOf {
 			slices.SortStableFunc(l, func(a, b int) int {
 				x, y := &d.view.Running[a], &d.view.Running[b]
-				return cmp.Or(compareBool(x.Priority == 0, y.Priority == 0), cmp.Compare(x.Loss, y.Loss))
+				return cmp.Or(
+					-compareBool(x.Soon, y.Soon),
+					compareBool(x.Priority == 0, y.Priority == 0),
+					cmp.Compare(x.Loss, y.Loss),
+				)
 			})
 		}
 	}
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -252,10 +252,18 @@
 			r := &v.View.Running[n]
 			r.Room = append(r.Room, assignment.Room{Worker: i, Need: pl.step.Counted()})
 			r.Loss += pl.loss(now)
+			r.Soon = p.endsSoon(pl, now)
 		}
 	}
 }
 
+// endsSoon reports whether a run will end by itself about as soon as it could
+// be stopped.
+func (p *Planner) endsSoon(pl *placement, now time.Time) bool {
+	const half = 0.5
+	return pl.progress > half && p.rest(pl, now) <= p.Timing.Stop
+}
+
 // loss returns the work that stopping the run would lose, in core-seconds.
 func (pl *placement) loss(now time.Time) float64 {
 	if pl.since.IsZero() {
--- a/scheduler/control/evacuate.go
+++ b/scheduler/control/evacuate.go
@@ -32,7 +32,8 @@
 func (p *Planner) rest(pl *placement, now time.Time) time.Duration {
 	const enough = 0.1
 	if pl.progress > enough && !pl.since.IsZero() {
-		return time.Duration(float64(pl.ran(pl.sampled)) * (1 - pl.progress) / pl.progress)
+		whole := float64(pl.ran(pl.sampled)) / pl.progress
+		return time.Duration(whole*(1-pl.progress)) - now.Sub(pl.sampled)
 	}
 	whole := p.estimator.Estimate(pl.job.template(pl.step)).Median
 	return time.Duration(float64(whole)/p.paces.Speed(pl.worker.info.ID)) - pl.ran(now)
