control: stop the rest of a gang when a member is lost

Cause: after a worker had restarted the other members were left to end by themselves. Further tests: attempts, steps, occurrences over a takeover, cancelling, guaranteed work on full workers, refusals.

--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -16,7 +16,7 @@
 
 // view is the view of one decision with what its positions stand for.
 type view struct {
-	assignment.View
+	in      assignment.View
 	workers []*worker
 	index   map[string]int
 	jobs    []*job
@@ -28,11 +28,11 @@
 func (p *Planner) decide(now time.Time) {
 	begun := time.Now()
 	v := p.view(now)
-	d := assignment.Decide(v.View)
+	d := assignment.Decide(v.in)
 	for _, i := range d.Stops {
 		for _, pl := range v.runs[i] {
 			p.Log.Info("stopping run for a guaranteed job", "task", pl.id, "run", pl.run, "worker", pl.worker.info.ID,
-				"loss", v.View.Running[i].Loss)
+				"loss", v.in.Running[i].Loss)
 			p.stop(pl)
 		}
 	}
@@ -41,7 +41,7 @@
 		for _, w := range h.Seats {
 			s.workers = append(s.workers, v.workers[w].info.ID)
 		}
-		g := &v.View.Groups[h.Group]
+		g := &v.in.Groups[h.Group]
 		v.jobs[h.Group].seats[stepRef{g.Occurrence, g.Step}] = s
 	}
 	p.start(v, d.Starts)
@@ -51,20 +51,20 @@
 
 // view collects what a decision depends on.
 func (p *Planner) view(now time.Time) *view {
-	v := &view{View: assignment.View{Now: now}, index: map[string]int{}}
+	v := &view{in: assignment.View{Now: now}, index: map[string]int{}}
 	for _, w := range p.workers {
 		v.workers = append(v.workers, w)
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	for i, w := range v.workers {
 		v.index[w.info.ID] = i
-		v.View.Workers = append(v.View.Workers, assignment.Worker{
+		v.in.Workers = append(v.in.Workers, assignment.Worker{
 			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.paces.Speed(w.info.ID),
 			Known: p.paces.Known(w.info.ID), Open: w.open(now),
 		})
 	}
-	v.View.Reserve = p.demand.reserve(p.urgent())
+	v.in.Reserve = p.demand.reserve(p.urgent())
 	live := p.ordered()
 	covered := p.covered(live)
 	for _, j := range live {
@@ -140,7 +140,7 @@
 			g := p.newGroup(v, j, occurrence, step, due)
 			g.Indexes = waiting
 			g.Reclaim = covered
-			v.View.Groups = append(v.View.Groups, g)
+			v.in.Groups = append(v.in.Groups, g)
 			v.jobs = append(v.jobs, j)
 		}
 	}
@@ -184,10 +184,10 @@
 	}
 	ref := stepRef{occurrence, step}
 	if _, ok := j.ready[ref]; !ok {
-		j.ready[ref] = v.View.Now
+		j.ready[ref] = v.in.Now
 	}
 	g.Since = j.ready[ref]
-	if held, ok := j.seats[ref]; ok && v.View.Now.Before(held.until) {
+	if held, ok := j.seats[ref]; ok && v.in.Now.Before(held.until) {
 		for _, id := range held.workers {
 			if i, ok := v.index[id]; ok {
 				g.Seats = append(g.Seats, i)
@@ -244,12 +244,12 @@
 				n = len(v.runs)
 				at[k] = n
 				v.runs = append(v.runs, nil)
-				v.View.Running = append(v.View.Running, assignment.Running{
+				v.in.Running = append(v.in.Running, assignment.Running{
 					Job: pl.job.spec.ID, Priority: pl.job.queue.Priority, Borrowed: !covered[pl.job],
 				})
 			}
 			v.runs[n] = append(v.runs[n], pl)
-			r := &v.View.Running[n]
+			r := &v.in.Running[n]
 			r.Room = append(r.Room, assignment.Room{Worker: i, Need: pl.step.Counted()})
 			r.Loss += pl.loss(now)
 			r.Soon = p.endsSoon(pl, now)
@@ -279,7 +279,7 @@
 // start reserves the chosen workers and orders the runs once they are stored.
 func (p *Planner) start(v *view, starts []assignment.Start) {
 	for _, s := range starts {
-		g, j, w := &v.View.Groups[s.Group], v.jobs[s.Group], v.workers[s.Worker]
+		g, j, w := &v.in.Groups[s.Group], v.jobs[s.Group], v.workers[s.Worker]
 		id := batch.TaskID{Job: g.Job, Occurrence: g.Occurrence, Step: g.Step, Index: s.Index}
 		t := j.progress.Task(j.spec, id)
 		pl := &placement{
@@ -296,7 +296,7 @@
 	// The tasks change after the loop, because the run of a gang and its
 	// checkpoint follow from all of its tasks.
 	for _, s := range starts {
-		g, j, w := &v.View.Groups[s.Group], v.jobs[s.Group], v.workers[s.Worker]
+		g, j, w := &v.in.Groups[s.Group], v.jobs[s.Group], v.workers[s.Worker]
 		id := batch.TaskID{Job: g.Job, Occurrence: g.Occurrence, Step: g.Step, Index: s.Index}
 		t := j.progress.Task(j.spec, id)
 		pl := w.placements[id]
@@ -311,16 +311,16 @@
 		slowest := math.Inf(1)
 		var on []string
 		for ; i < len(starts) && starts[i].Group == group; i++ {
-			w := &v.View.Workers[starts[i].Worker]
+			w := &v.in.Workers[starts[i].Worker]
 			slowest = min(slowest, w.Speed)
 			if len(on) == 0 || on[len(on)-1] != w.ID {
 				on = append(on, w.ID)
 			}
 		}
-		g, j := &v.View.Groups[group], v.jobs[group]
+		g, j := &v.in.Groups[group], v.jobs[group]
 		p.Log.Info("placed", "job", g.Job, "occurrence", g.Occurrence, "step", g.Step, "tasks", len(g.Indexes),
 			"run", j.progress.Step(j.spec, g.Occurrence, g.Step).Tasks[starts[i-1].Index].Run, "workers", on, "slowest", slowest,
-			"covered", g.Reclaim, "ready", v.View.Now.Sub(g.Since), "age", v.View.Now.Sub(g.Accepted), "reserve", v.View.Reserve)
+			"covered", g.Reclaim, "ready", v.in.Now.Sub(g.Since), "age", v.in.Now.Sub(g.Accepted), "reserve", v.in.Reserve)
 	}
 }
 
--- /dev/null
+++ b/scheduler/control/job_test.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+)
+
+// reclaimTime is the time in which guaranteed work must begin.
+const reclaimTime = 3400 * time.Millisecond
+
+func TestGangRunsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 8)
+		p, stop := f.planner()
+		defer stop()
+		time.Sleep(settle)
+		f.submit(p, batchJob("g", "urgent", "a", "3s", gang(4, 8)))
+		time.Sleep(time.Second)
+		f.on("g").Restart()
+		time.Sleep(8 * time.Second)
+		f.expect(p, "urgent", "g", batch.JobDone)
+		if n := f.starts("g"); n != 8 {
+			t.Errorf("%d starts, want those of two whole gangs", n)
+		}
+	})
+}
+
+func TestAttemptsAreUsedUp(t *testing.T) {
+	steps := map[string]batch.Step{"gang": gang(3, 1), "tasks": {Tasks: 2, Need: batch.Resources{MilliCPU: 1000}}}
+	for name, step := range steps {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFloor(t, 8)
+				p, stop := f.planner()
+				defer stop()
+				time.Sleep(settle)
+				f.submit(p, batchJob("j", "urgent", "a", "300ms fail", step))
+				time.Sleep(30 * time.Second)
+				f.expect(p, "urgent", "j", batch.JobFailed)
+				runs := map[int]bool{}
+				for _, r := range f.runners {
+					for _, s := range r.Starts() {
+						runs[s.Number] = true
+					}
+				}
+				if want := f.catalogue.Queues["urgent"].Attempts; len(runs) != want {
+					t.Errorf("%d runs, want %d", len(runs), want)
+				}
+			})
+		})
+	}
+}
+
+func TestStepsFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 8)
+		p, stop := f.planner()
+		defer stop()
+		time.Sleep(settle)
+		one := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000}}
+		last := one
+		last.After = []int{0, 1}
+		j := batchJob("j", "later", "a", "1s", one)
+		j.Steps = []batch.Step{one, one, last}
+		f.submit(p, j)
+		time.Sleep(1500 * time.Millisecond)
+		f.expect(p, "later", "j", batch.JobRunning)
+		if n := f.starts("j"); n != 3 {
+			t.Errorf("%d starts, want the third after the first two are done", n)
+		}
+		time.Sleep(time.Second)
+		f.expect(p, "later", "j", batch.JobDone)
+	})
+}
+
+func TestOccurrencesComeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 8)
+		p, stop := f.planner()
+		time.Sleep(settle)
+		j := batchJob("j", "later", "a", "100ms", batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000}})
+		j.First, j.Interval, j.Occurrences = time.Now().Add(time.Second), 2*time.Second, 3
+		f.submit(p, j)
+		for want, wait := range []time.Duration{900 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 2 * time.Second} {
+			time.Sleep(wait)
+			if n := f.starts("j"); n != want {
+				t.Errorf("%d starts, want %d", n, want)
+			}
+			if want == 1 {
+				stop()
+				p, stop = f.planner()
+			}
+		}
+		defer stop()
+		time.Sleep(time.Second)
+		f.expect(p, "later", "j", batch.JobDone)
+	})
+}
+
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 8)
+		p, stop := f.planner()
+		defer stop()
+		time.Sleep(settle)
+		f.submit(p, batchJob("g", "urgent", "a", "60s", gang(4, 8)))
+		time.Sleep(time.Second)
+		if v := p.Cancel(t.Context(), "urgent", "g"); v.Outcome != OutcomeAccepted {
+			t.Fatalf("%+v", v)
+		}
+		f.expect(p, "urgent", "g", batch.JobCancelled)
+		time.Sleep(2 * time.Second)
+		for id, r := range f.runners {
+			if n := len(r.Running()); n > 0 {
+				t.Errorf("%d runs on %s", n, id)
+			}
+		}
+		if v := p.Cancel(t.Context(), "urgent", "nobody"); v.Outcome != OutcomeAbsent {
+			t.Errorf("a job that does not exist: %+v", v)
+		}
+	})
+}
+
+// TestGuaranteedWorkBegins fills all workers with the work of another team.
+func TestGuaranteedWorkBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 16)
+		p, stop := f.planner()
+		defer stop()
+		time.Sleep(settle)
+		for i := range 16 {
+			f.submit(p, batchJob(fmt.Sprint("b", i), "later", "b", "60s", gang(1, 8)))
+		}
+		time.Sleep(time.Second)
+		f.submit(p, batchJob("a", "urgent", "a", "2s", gang(4, 8)))
+		time.Sleep(reclaimTime)
+		if n := f.starts("a"); n != 4 {
+			t.Errorf("%d starts within %v", n, reclaimTime)
+		}
+		time.Sleep(2 * time.Second)
+		f.expect(p, "urgent", "a", batch.JobDone)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 8)
+		p, stop := f.planner()
+		time.Sleep(settle)
+		tests := []struct {
+			name string
+			job  *batch.Job
+			want Outcome
+		}{
+			{"no worker is large enough", batchJob("a", "later", "a", "1s", gang(1, 9)), OutcomeRefused},
+			{"a gang larger than all workers", batchJob("b", "later", "a", "1s", gang(9, 8)), OutcomeRefused},
+			{"no step", &batch.Job{ID: "c", Queue: "later"}, OutcomeInvalid},
+			{"a step after itself", batchJob("d", "later", "a", "1s", batch.Step{Tasks: 1, After: []int{0}}), OutcomeInvalid},
+		}
+		for _, tt := range tests {
+			v := p.Submit(t.Context(), EncodeJob(tt.job, f.catalogue.Queues["later"], 0))
+			if v.Outcome != tt.want || v.Reason == "" {
+				t.Errorf("%s: %+v", tt.name, v)
+			}
+		}
+		stop()
+		v := p.Submit(t.Context(), EncodeJob(batchJob("e", "later", "a", "1s", gang(1, 1)), f.catalogue.Queues["later"], 0))
+		if v.Outcome != OutcomeUnavailable {
+			t.Errorf("after the term: %+v", v)
+		}
+	})
+}
--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -47,8 +47,7 @@
 	clear(w.outstanding)
 	for _, pl := range w.placements {
 		if t := pl.job.progress.Task(pl.job.spec, pl.id); t.Life != life {
-			p.Log.Info("run lost", "task", pl.id, "run", pl.run, "worker", w.info.ID, "reason", "worker restarted")
-			p.release(pl)
+			p.lose(pl, "worker restarted")
 		}
 	}
 }
@@ -128,15 +127,13 @@
 		}
 		switch pl.phase {
 		case phaseInherited:
-			p.Log.Info("inherited run is not there", "task", id, "run", pl.run, "worker", w.info.ID)
-			p.release(pl)
+			p.lose(pl, "never started")
 		case phaseRunning, phaseStopping:
 			if pl.settled.IsZero() || begun.Before(pl.settled) {
 				continue
 			}
 			if pl.missing++; pl.missing >= missingLimit {
-				p.Log.Info("run is not there", "task", id, "run", pl.run, "worker", w.info.ID)
-				p.release(pl)
+				p.lose(pl, "not there")
 			}
 		}
 	}
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -305,8 +305,17 @@
 // caller holds the lock.
 func (p *Planner) abandon(w *worker, reason string) {
 	for _, pl := range w.placements {
-		p.Log.Info("run lost", "task", pl.id, "run", pl.run, "worker", w.info.ID, "reason", reason)
-		p.release(pl)
+		p.lose(pl, reason)
+	}
+}
+
+// lose gives up a run that cannot be running any more, and with it its gang.
+// The caller holds the lock.
+func (p *Planner) lose(pl *placement, reason string) {
+	p.Log.Info("run lost", "task", pl.id, "run", pl.run, "worker", pl.worker.info.ID, "reason", reason)
+	p.release(pl)
+	if pl.step.Gang {
+		p.stopGang(pl)
 	}
 }
 
