--- a/daisylugd/entry/elect.go
+++ b/daisylugd/entry/elect.go
@@ -27,6 +27,17 @@
 	electInterval = 150 * time.Millisecond
 	// electJitter spreads the candidates, so that usually one takes over.
 	electJitter = 60 * time.Millisecond
+	// rankDelay is how much longer an instance waits before it takes over, for
+	// each larger instance that it hears, up to maxRank.
+	rankDelay = 80 * time.Millisecond
+	maxRank   = 5
+	// smallDelay is the same for an instance that has less than smallCores.
+	smallDelay = 400 * time.Millisecond
+	smallCores = 0.3
+	// handOverAfter is how long a planner stays in office before it hands over
+	// to an instance with handOverFactor times its cores.
+	handOverAfter  = 3 * time.Second
+	handOverFactor = 1.5
 	// probeTimeout is the time to connect to a planner that is out of touch.
 	probeTimeout = 300 * time.Millisecond
 	// callTimeout bounds one call of the store during an election.
@@ -38,7 +49,7 @@
 	e.group.SetValue(valueProcess, number(e.incarnation))
 	office := term.New(e.services.Store, e.settings.Name, e.incarnation)
 	var seen term.Holder
-	var since time.Time
+	var since, vacant time.Time
 	for ctx.Err() == nil {
 		sleep(ctx, electInterval+rand.N(electJitter))
 		if _, ok := e.inOffice(); ok || e.draining.Load() {
@@ -56,9 +67,16 @@
 		}
 		reason := e.vacant(holder, since)
 		if reason == "" {
+			vacant = time.Time{}
 			continue
 		}
-		since = time.Time{}
+		if vacant.IsZero() {
+			vacant = time.Now()
+		}
+		if time.Since(vacant) < e.courtesy() {
+			continue
+		}
+		since, vacant = time.Time{}, time.Time{}
 		e.log.Info("taking over", "former", holder.Name, "generation", holder.Generation+1, "reason", reason)
 		if err := e.serve(ctx, office, holder); err != nil && ctx.Err() == nil {
 			e.log.Info("not in office", "error", err)
@@ -67,6 +85,40 @@
 	return ctx.Err()
 }
 
+// courtesy returns how long the instance lets larger ones take over first.
+func (e *Entry) courtesy() time.Duration {
+	delay := time.Duration(min(e.larger(1), maxRank)) * rankDelay
+	if e.settings.Cores < smallCores {
+		delay += smallDelay
+	}
+	return delay
+}
+
+// larger returns how many instances that can be heard have more than factor
+// times the cores of this one.
+func (e *Entry) larger(factor float64) int {
+	own := e.group.Self().Weight
+	n := 0
+	for _, p := range e.group.Peers() {
+		if p.Connected && p.Health == member.HealthAlive && float64(p.Instance.Weight) > factor*float64(own) {
+			n++
+		}
+	}
+	return n
+}
+
+// handOver resigns once a much larger instance is there.
+func (e *Entry) handOver(ctx context.Context, p *control.Planner) {
+	for ctx.Err() == nil {
+		sleep(ctx, handOverAfter)
+		if n := e.larger(handOverFactor); n > 0 && ctx.Err() == nil {
+			e.log.Info("handing over", "larger", n)
+			p.Resign()
+			return
+		}
+	}
+}
+
 // vacant returns why the office is vacant, or nothing.
 func (e *Entry) vacant(holder term.Holder, since time.Time) string {
 	switch {
@@ -115,6 +167,9 @@
 	if e.draining.Load() {
 		p.Resign()
 	}
+	ctx, cancel = context.WithCancel(ctx)
+	defer cancel()
+	go e.handOver(ctx, p)
 	return p.Run(ctx)
 }
 
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -45,6 +45,9 @@
 	Name       string
 	Region     string
 	DataCentre string
+	// Cores is the instance's share of processors; the planner runs where it
+	// is largest.
+	Cores float64
 	// Seeds are addresses of instances to begin with.
 	Seeds []string
 	// Freshness is the age up to which a configuration is acted on.
@@ -76,7 +79,8 @@
 	}
 	e.SetSeeds(settings.Seeds)
 	self := platform.Instance{
-		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: settings.Name, Weight: 1,
+		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: settings.Name,
+		Weight: max(int(settings.Cores*weightPerCore), 1),
 	}
 	e.group = member.New(self, &directory{entry: e}, services.Peers, member.WithLogger(log), member.WithWholeMesh())
 	services.Store.serve(e.group)
@@ -87,6 +91,9 @@
 // SetSeeds replaces the addresses of the instances to begin with.
 func (e *Entry) SetSeeds(seeds []string) { e.seeds.Store(&seeds) }
 
+// weightPerCore is the weight of an instance with one core.
+const weightPerCore = 1000
+
 // Run takes part until ctx ends.
 func (e *Entry) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
