--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -266,7 +266,7 @@
 
 func TestReclaim(t *testing.T) {
 	covered := gangOf("g", 2, 8)
-	covered.Reclaim = true
+	covered.Reclaim, covered.Since = true, now
 
 	t.Run("stops what loses the least and holds the room", func(t *testing.T) {
 		d := Decide(full(covered))
@@ -333,6 +333,15 @@
 			t.Errorf("stops %v, holds %v", d.Stops, d.Holds)
 		}
 	})
+	t.Run("does not wait for runs that did not end", func(t *testing.T) {
+		g := covered
+		g.Since = now.Add(-patience)
+		v := full(g)
+		v.Running[5].Soon, v.Running[6].Soon, v.Running[6].Borrowed = true, true, false
+		if d := Decide(v); len(d.Stops) != 2 {
+			t.Errorf("stops %v", d.Stops)
+		}
+	})
 	t.Run("takes urgent runs last", func(t *testing.T) {
 		half := batch.Resources{Accelerators: 4}
 		g := gangOf("g", 1, 4)
--- a/scheduler/assignment/reclaim.go
+++ b/scheduler/assignment/reclaim.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // reclaim stops runs that use room promised to the group's team, on the rack
@@ -13,6 +14,9 @@
 		d.keep(g, g.Seats)
 		return
 	}
+	if d.view.Now.Sub(g.Since) >= patience {
+		d.distrustEnds()
+	}
 	var best *plan
 	if g.Rack != "" {
 		best = d.evict(g, d.racks[g.Rack])
@@ -40,6 +44,14 @@
 	d.keep(g, best.seats)
 }
 
+// distrustEnds no longer counts on runs to end by themselves.
+func (d *decider) distrustEnds() {
+	for i := range d.view.Running {
+		d.view.Running[i].Soon = false
+	}
+	d.victimsOf = nil
+}
+
 // plan is a way to make room for a group.
 type plan struct {
 	victims []int
@@ -197,3 +209,8 @@
 		d.free[w] = d.free[w].Minus(g.Need)
 	}
 }
+
+// patience is how long a guaranteed group waits for runs that should end by
+// themselves; with the time of a stop it stays well below the time in which
+// guaranteed work must begin.
+const patience = 1 * time.Second
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -12,7 +12,7 @@
 
 // holdTime is how long room is kept for a job for which runs are being
 // stopped: the time of a stop and of its notice.
-const holdTime = 1500 * time.Millisecond
+const holdTime = 1200 * time.Millisecond
 
 // view is the view of one decision with what its positions stand for.
 type view struct {
@@ -260,8 +260,14 @@
 // endsSoon reports whether a run will end by itself about as soon as it could
 // be stopped.
 func (p *Planner) endsSoon(pl *placement, now time.Time) bool {
-	const half = 0.5
-	return pl.progress > half && p.rest(pl, now) <= p.Timing.Stop
+	const (
+		half = 0.5
+		// late is how long after its expected end a run no longer counts as one
+		// that ends.
+		late = 300 * time.Millisecond
+	)
+	rest := p.rest(pl, now)
+	return pl.progress > half && rest > -late && rest <= p.Timing.Stop
 }
 
 // loss returns the work that stopping the run would lose, in core-seconds.
