assignment: move guaranteed work when a guaranteed shape fits nowhere else

Cause: RECLAIM on kofpo (mix): a gang of 4 x 8 accelerators within its team's guarantee waited 4.5 s, because covered runs of others lay on nearly all workers. As a last resort, and only for a job that has not begun, covered runs are stopped too. Decide no longer changes its input.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -63,6 +63,8 @@
 	Length time.Duration
 	// Reclaim is set if the team's guarantee covers the tasks.
 	Reclaim bool
+	// Fresh is set if no run of the job has started yet.
+	Fresh bool
 	// Seats are the workers, by position in the view, on which room is being
 	// made for the tasks.
 	Seats []int
@@ -133,6 +135,7 @@
 // small job starts past a large one that does not fit, and a guaranteed job
 // that does not fit takes the room of others.
 func Decide(v View) Decision {
+	v.Running = slices.Clone(v.Running)
 	d := &decider{view: v, free: make([]batch.Resources, len(v.Workers))}
 	for i := range v.Workers {
 		d.free[i] = v.Workers[i].Free
@@ -210,6 +213,8 @@
 	racks map[string][]int
 	names []string
 	open  []int
+	// anyVictim lets runs be stopped that guarantees cover.
+	anyVictim bool
 	// victimsOf lists the runs that may be stopped on each worker.
 	victimsOf map[int][]int
 	// saved counts the blocked groups for which room is kept.
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -316,6 +316,20 @@
 			t.Errorf("stops %v", d.Stops)
 		}
 	})
+	t.Run("moves covered runs for work that has not begun, if nothing else helps", func(t *testing.T) {
+		for _, fresh := range []bool{true, false} {
+			g := covered
+			g.Fresh = fresh
+			v := full(g)
+			for i := range v.Running {
+				v.Running[i].Borrowed = i == 7
+			}
+			d := Decide(v)
+			if want := map[bool]int{true: 2}[fresh]; len(d.Stops) != want {
+				t.Errorf("fresh %v: stops %v", fresh, d.Stops)
+			}
+		}
+	})
 	t.Run("stops nothing that is covered itself", func(t *testing.T) {
 		v := full(covered)
 		for i := range v.Running {
--- a/scheduler/assignment/reclaim.go
+++ b/scheduler/assignment/reclaim.go
@@ -17,17 +17,14 @@
 	if d.view.Now.Sub(g.Since) >= patience {
 		d.distrustEnds()
 	}
-	var best *plan
-	if g.Rack != "" {
-		best = d.evict(g, d.racks[g.Rack])
-	}
-	if best == nil && g.Adjacent && g.Gang {
-		for _, name := range d.names {
-			best = cheaper(best, d.evict(g, d.racks[name]))
-		}
-	}
-	if best == nil {
-		best = d.evict(g, d.open)
+	best := d.plan(g)
+	if best == nil && g.Fresh {
+		// The guaranteed work that runs lies so that the shape fits nowhere.
+		// Some of it is moved, for work that has not begun only, so that two
+		// jobs cannot stop each other in turn.
+		d.anyVictim, d.victimsOf = true, nil
+		best = d.plan(g)
+		d.anyVictim, d.victimsOf = false, nil
 	}
 	if best == nil {
 		return
@@ -44,6 +41,26 @@
 	d.keep(g, best.seats)
 }
 
+// plan returns the cheapest way to make room for a group, on the rack of its
+// data or on one rack if that is possible.
+func (d *decider) plan(g *Group) *plan {
+	if g.Rack != "" {
+		if p := d.evict(g, d.racks[g.Rack]); p != nil {
+			return p
+		}
+	}
+	var best *plan
+	if g.Adjacent && g.Gang {
+		for _, name := range d.names {
+			best = cheaper(best, d.evict(g, d.racks[name]))
+		}
+	}
+	if best == nil {
+		best = d.evict(g, d.open)
+	}
+	return best
+}
+
 // distrustEnds no longer counts on runs to end by themselves.
 func (d *decider) distrustEnds() {
 	for i := range d.view.Running {
@@ -149,7 +166,7 @@
 	if d.victimsOf == nil {
 		d.victimsOf = map[int][]int{}
 		for i := range d.view.Running {
-			if !d.view.Running[i].Borrowed && !d.view.Running[i].Soon {
+			if !d.view.Running[i].Borrowed && !d.view.Running[i].Soon && !d.anyVictim {
 				continue
 			}
 			for _, m := range d.view.Running[i].Room {
@@ -163,6 +180,7 @@
 				x, y := &d.view.Running[a], &d.view.Running[b]
 				return cmp.Or(
 					-compareBool(x.Soon, y.Soon),
+					-compareBool(x.Borrowed, y.Borrowed),
 					compareBool(x.Priority == 0, y.Priority == 0),
 					cmp.Compare(x.Loss, y.Loss),
 				)
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -140,6 +140,7 @@
 			g := p.newGroup(v, j, occurrence, step, due)
 			g.Indexes = waiting
 			g.Reclaim = covered
+			g.Fresh = !j.started
 			v.in.Groups = append(v.in.Groups, g)
 			v.jobs = append(v.jobs, j)
 		}
