--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := scheduler daisylugd daisylug standin
+MODULES := scheduler daisylugd daisylug standin platform
 BIN     := bin
 RED_RACE := ^(TestBounds|TestAllowanceLastsTheOutage|TestChargesCountOnce|TestDrawsDoNotOverlap|TestFirstDrawLeavesAShare|TestStartWithoutTable)$$
 TOOL    := GOWORK=off go tool -modfile=$(CURDIR)
@@ -7,10 +7,10 @@
 
 all: build
 
-# Builds the three programs into bin/.
+# Builds the four programs into bin/.
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./daisylugd ./daisylug ./standin
+	go build -o $(BIN)/ ./daisylugd ./daisylug ./standin ./platform
 
 # Runs every test once, without the cache.
 test:
