control: tell a worker that has left from one that is cut off

An entry that goes soon after a heartbeat was taken back by the worker; one that goes later says nothing. The row 'a leaving worker is cut off' fails without the change.

assignment: room that is being made for a guaranteed job is not taken by a later one. The test failed before.

memory.Runner.Info takes the lock; the race detector had reported the tests.

--- a/daisylugd/entry/store_test.go
+++ b/daisylugd/entry/store_test.go
@@ -37,7 +37,7 @@
 func (f floor) Workers(context.Context) ([]platform.RunnerInfo, error) {
 	var all []platform.RunnerInfo
 	for _, r := range f.runners {
-		all = append(all, r.Info)
+		all = append(all, r.Info())
 	}
 	return all, nil
 }
--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -185,6 +185,7 @@
 		x, y := &v.Groups[a], &v.Groups[b]
 		return cmp.Or(
 			-compareBool(x.Reclaim, y.Reclaim),
+			compareReclaim(x, y),
 			compareBool(tiers[a] == tierHopeless, tiers[b] == tierHopeless),
 			cmp.Compare(x.Priority, y.Priority),
 			cmp.Compare(tiers[a], tiers[b]),
@@ -195,6 +196,15 @@
 	return order
 }
 
+// compareReclaim orders guaranteed groups: those for which room is being made,
+// so that no other takes it, and then by age.
+func compareReclaim(x, y *Group) int {
+	if !x.Reclaim || !y.Reclaim {
+		return 0
+	}
+	return cmp.Or(-compareBool(x.Seats != nil, y.Seats != nil), x.Accepted.Compare(y.Accepted))
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -311,6 +311,21 @@
 			}
 		}
 	})
+	t.Run("room made for one job is not taken by a later one", func(t *testing.T) {
+		early, late := covered, gangOf("h", 2, 8)
+		early.Accepted = now.Add(-3 * time.Second)
+		early.Objective, early.Seats = now, []int{0, 1}
+		late.Reclaim = true
+		v := full(early)
+		v.Groups = append(v.Groups, late)
+		// One of the two workers is free already, and a third one.
+		use(&v.Workers[0], -8)
+		use(&v.Workers[2], -8)
+		d := Decide(v)
+		if n := len(v.started(d, "h")); n != 0 {
+			t.Errorf("%d starts of the later job", n)
+		}
+	})
 	t.Run("stops nothing without a guarantee", func(t *testing.T) {
 		if d := Decide(full(gangOf("g", 2, 8))); len(d.Stops) != 0 {
 			t.Errorf("stops %v", d.Stops)
--- a/scheduler/control/fault_test.go
+++ b/scheduler/control/fault_test.go
@@ -64,13 +64,38 @@
 			},
 			after: lease, want: batch.JobRunning, starts: 1,
 		},
+		{
+			name: "a leaving worker exits", payload: "5s",
+			fault: func(f *floor, p *Planner, stop func()) (*Planner, func()) {
+				r := f.on("j")
+				f.leave(r)
+				time.Sleep(time.Second)
+				r.SetFaults(memory.Faults{Outage: true})
+				f.drop(r)
+				return p, stop
+			},
+			after: 7 * time.Second, want: batch.JobDone, starts: 2,
+		},
+		{
+			name: "a leaving worker is cut off", payload: "5s",
+			fault: func(f *floor, p *Planner, stop func()) (*Planner, func()) {
+				r := f.on("j")
+				f.leave(r)
+				r.SetFaults(memory.Faults{Outage: true})
+				f.silence(r)
+				time.Sleep(3 * heartbeat)
+				f.drop(r)
+				return p, stop
+			},
+			after: 2 * time.Second, want: batch.JobRunning, starts: 1,
+		},
 		{
 			name: "a worker is gone and another planner takes over",
 			fault: func(f *floor, _ *Planner, stop func()) (*Planner, func()) {
 				r := f.on("j")
 				stop()
 				f.mu.Lock()
-				delete(f.runners, r.Info.ID)
+				delete(f.runners, r.Info().ID)
 				f.mu.Unlock()
 				return f.planner()
 			},
--- a/scheduler/control/floor_test.go
+++ b/scheduler/control/floor_test.go
@@ -25,12 +25,17 @@
 	runners map[string]*memory.Runner
 	// unlisted workers are missing from the registry, leaving ones are about
 	// to exit.
-	unlisted  map[string]bool
-	leaving   map[string]bool
+	unlisted map[string]bool
+	leaving  map[string]bool
+	// silent workers send no heartbeat any more.
+	silent    map[string]int64
 	catalogue *Catalogue
 	serial    uint64
 }
 
+// heartbeat is the time between two heartbeats of a worker of the floor.
+const heartbeat = 1500 * time.Millisecond
+
 // lease is the longest lease of a worker of the floor.
 const lease = 6 * time.Second
 
@@ -42,7 +47,7 @@
 func newFloor(t *testing.T, workers int) *floor {
 	f := &floor{
 		t: t, store: memory.NewRows(1), runners: map[string]*memory.Runner{},
-		unlisted: map[string]bool{}, leaving: map[string]bool{},
+		unlisted: map[string]bool{}, leaving: map[string]bool{}, silent: map[string]int64{},
 		catalogue: &Catalogue{
 			Version: 1,
 			Queues: map[string]Queue{
@@ -71,8 +76,12 @@
 		if f.unlisted[id] {
 			continue
 		}
-		info := r.Info
+		info := r.Info()
 		info.Leaving = f.leaving[id]
+		info.Beat = time.Now().UnixNano() / int64(heartbeat)
+		if beat, ok := f.silent[id]; ok {
+			info.Beat = beat
+		}
 		all = append(all, info)
 	}
 	return all, nil
@@ -106,7 +115,7 @@
 	}
 	p := New(Dependencies{
 		Term: seized, Store: f.store, Registry: f, Dialer: f, Catalogue: func() *Catalogue { return f.catalogue },
-		Timing: Timing{Lease: lease, Stop: stopTime, Retention: time.Minute},
+		Timing: Timing{Lease: lease, Stop: stopTime, Heartbeat: heartbeat, Retention: time.Minute},
 		Log:    klog.Background(), Metrics: metrics.NewSet(),
 	})
 	if err := p.Load(ctx); err != nil {
@@ -181,3 +190,24 @@
 	f.t.Fatalf("job %s runs nowhere", id)
 	return nil
 }
+
+// leave makes a worker announce that it will exit after its runs.
+func (f *floor) leave(r *memory.Runner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving[r.Info().ID] = true
+}
+
+// silence ends the heartbeats of a worker.
+func (f *floor) silence(r *memory.Runner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[r.Info().ID] = time.Now().UnixNano() / int64(heartbeat)
+}
+
+// drop removes the entry of a worker.
+func (f *floor) drop(r *memory.Runner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unlisted[r.Info().ID] = true
+}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -37,6 +37,8 @@
 	Lease time.Duration
 	// Stop is the longest time that stopping a run takes.
 	Stop time.Duration
+	// Heartbeat is the time between two heartbeats of a worker.
+	Heartbeat time.Duration
 	// Retention is how long the state of an ended job stays readable.
 	Retention time.Duration
 }
@@ -94,8 +96,10 @@
 	estimator *queue.Estimator
 	paces     *pace.Book
 	demand    demand
-	kick      chan struct{}
-	meters    *meters
+	// listed is when the registry was last read.
+	listed time.Time
+	kick   chan struct{}
+	meters *meters
 }
 
 // job is an accepted job.
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -43,6 +43,8 @@
 	// ceased to.
 	listed bool
 	gone   time.Time
+	// beat is when the latest heartbeat came, at the earliest.
+	beat time.Time
 	// life is the process that has answered in this term; 0 before.
 	life     int64
 	failures int
@@ -119,6 +121,9 @@
 		if w.info.Address != info.Address {
 			w.runner = p.Dialer.Runner(info)
 		}
+		if w.info.Beat != info.Beat {
+			w.beat = p.listed
+		}
 		w.info = info
 		w.listed = true
 		w.gone = time.Time{}
@@ -132,13 +137,14 @@
 		}
 		if w.gone.IsZero() {
 			w.gone = now
-			p.Log.Info("worker is not listed any more", "worker", id, "placements", len(w.placements))
+			p.Log.Info("worker is not listed any more", "worker", id, "placements", len(w.placements), "beat", now.Sub(w.beat))
 		}
 		if len(w.placements) == 0 && now.Sub(w.gone) > forgetAfter {
 			w.end()
 			delete(p.workers, id)
 		}
 	}
+	p.listed = now
 	p.wake()
 }
 
@@ -295,10 +301,16 @@
 	return retryInterval
 }
 
-// left reports whether a worker that announced its shutdown has exited: the
-// registry dropped it and it no longer answers.
+// silentBeats is the number of heartbeats after which the registry drops a
+// silent worker, less the error of reading it at intervals.
+const silentBeats = 2.5
+
+// left reports whether a worker that announced its shutdown has exited: it no
+// longer answers, and its entry went too soon after a heartbeat to have been
+// dropped for silence, which a cut brings about as well.
 func (p *Planner) left(w *worker) bool {
-	return w.info.Leaving && !w.listed && w.failures >= silentAfter
+	return w.info.Leaving && !w.listed && w.failures >= silentAfter && !w.beat.IsZero() &&
+		w.gone.Sub(w.beat) < time.Duration(silentBeats*float64(p.Timing.Heartbeat))
 }
 
 // abandon gives up all runs of a worker that cannot be running any more. The
--- a/scheduler/platform/memory/runner.go
+++ b/scheduler/platform/memory/runner.go
@@ -16,7 +16,7 @@
 // "duration[ fail]" tells how long a task runs and how it ends.
 type Runner struct {
 	*Injector
-	Info platform.RunnerInfo
+	info platform.RunnerInfo
 	// Linger is how long a run goes on after the end of its lease.
 	Linger time.Duration
 
@@ -44,7 +44,7 @@
 
 // NewRunner returns a worker that has just started.
 func NewRunner(info platform.RunnerInfo, seed uint64) *Runner {
-	r := &Runner{Injector: NewInjector("worker", seed), Info: info}
+	r := &Runner{Injector: NewInjector("worker", seed), info: info}
 	r.Restart()
 	return r
 }
@@ -55,7 +55,7 @@
 	defer r.mu.Unlock()
 	r.born = time.Now()
 	r.life++
-	r.Info.Life = r.life
+	r.info.Life = r.life
 	r.generation, r.lease, r.sequence = 0, 0, 0
 	r.running, r.barred, r.ended = map[batch.TaskID]*process{}, map[batch.TaskID]int{}, nil
 	r.changed = make(chan struct{})
@@ -216,3 +216,10 @@
 	}
 	return s, next, r.changed
 }
+
+// Info describes the worker as it is now.
+func (r *Runner) Info() platform.RunnerInfo {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info
+}
--- a/scheduler/platform/runner.go
+++ b/scheduler/platform/runner.go
@@ -38,6 +38,8 @@
 	// Remaining is how long a leaving worker still runs at least, when it was
 	// last heard of.
 	Remaining time.Duration
+	// Beat changes with each heartbeat of the worker.
+	Beat int64
 	// Life identifies the process of the worker; it changes with a restart.
 	Life int64
 }
