--- a/daisylugd/dispatch/server.go
+++ b/daisylugd/dispatch/server.go
@@ -9,9 +9,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	klevel "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
-	"k8s.io/klog/v2"
 )
 
 // server returns the HTTP server for callers and operators.
@@ -148,16 +146,3 @@
 
 // callContext returns the request's context, ended when the caller goes away.
 func callContext(ctx khttp.Context) context.Context { return ctx.Request().Context() }
-
-// kratosLog passes kratos' log lines to klog.
-type kratosLog struct{ log klog.Logger }
-
-// Log implements the logger of kratos.
-func (l kratosLog) Log(level klevel.Level, keyvals ...any) error {
-	if level >= klevel.LevelError {
-		l.log.Error(nil, "server", keyvals...)
-		return nil
-	}
-	l.log.V(2).Info("server", keyvals...)
-	return nil
-}
