--- a/scheduler/control/job_test.go
+++ b/scheduler/control/job_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/term"
 )
 
 // reclaimTime is the time in which guaranteed work must begin.
@@ -174,3 +176,29 @@
 		}
 	})
 }
+
+func TestEndedJobsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 8)
+		p, stop := f.planner()
+		defer stop()
+		time.Sleep(settle)
+		f.submit(p, batchJob("old", "later", "a", "100ms", gang(1, 1)))
+		time.Sleep(time.Second)
+		f.expect(p, "later", "old", batch.JobDone)
+		time.Sleep(p.Timing.Retention)
+		f.expect(p, "later", "old", batch.JobDone)
+		f.submit(p, batchJob("new", "later", "a", "600s", gang(1, 1)))
+		time.Sleep(obsoleteFactor * p.Timing.Retention)
+		if v := p.State("later", "old"); v.Outcome != OutcomeAbsent {
+			t.Errorf("%+v", v)
+		}
+		f.expect(p, "later", "new", batch.JobRunning)
+		for _, table := range []string{jobTable, progressTable} {
+			page, err := f.store.List(t.Context(), platform.Range{Table: table, Part: term.Part})
+			if err != nil || len(page.Rows) != 1 {
+				t.Errorf("%d rows in %s, error %v", len(page.Rows), table, err)
+			}
+		}
+	})
+}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -96,6 +96,8 @@
 	estimator *queue.Estimator
 	paces     *pace.Book
 	demand    demand
+	// searched is when obsolete jobs were last searched for.
+	searched time.Time
 	// listed is when the registry was last read.
 	listed time.Time
 	kick   chan struct{}
@@ -226,13 +228,14 @@
 		}
 		p.decide(time.Now())
 		writes, after := p.collect()
-		if len(writes) == 0 && !renewing {
+		removes, forget := p.obsolete(time.Now(), term.MaxChanges-len(writes))
+		if len(writes)+len(removes) == 0 && !renewing {
 			p.mu.Unlock()
 			continue
 		}
 		p.committing = time.Now()
 		p.mu.Unlock()
-		err := p.Term.Commit(ctx, writes, nil)
+		err := p.Term.Commit(ctx, writes, removes)
 		p.mu.Lock()
 		p.meters.commit.UpdateDuration(p.committing)
 		p.committing = time.Time{}
@@ -240,6 +243,9 @@
 			for _, f := range after {
 				f()
 			}
+			for _, j := range forget {
+				delete(p.jobs, j.spec.ID)
+			}
 		}
 		more := len(p.dirty) > 0
 		p.mu.Unlock()
@@ -290,6 +296,38 @@
 	return writes, after
 }
 
+const (
+	// obsoleteFactor is how many times the time for which an ended job must
+	// stay known it is kept.
+	obsoleteFactor = 2
+	// obsoleteInterval is the time between two searches for obsolete jobs.
+	obsoleteInterval = 1 * time.Second
+	// rowsPerJob is the number of rows of a job.
+	rowsPerJob = 2
+)
+
+// obsolete returns the rows of jobs that ended long ago, up to a number, and
+// the jobs. The caller holds the lock.
+func (p *Planner) obsolete(now time.Time, most int) ([]platform.RowKey, []*job) {
+	if now.Sub(p.searched) < obsoleteInterval {
+		return nil, nil
+	}
+	p.searched = now
+	var removes []platform.RowKey
+	var jobs []*job
+	for id, j := range p.jobs {
+		if len(removes)+rowsPerJob > most {
+			break
+		}
+		old := j.shown.Final() && now.Sub(j.progress.Ended) > obsoleteFactor*p.Timing.Retention
+		if old && !j.dirty && j.placed == 0 {
+			removes = append(removes, jobKey(id), progressKey(id))
+			jobs = append(jobs, j)
+		}
+	}
+	return removes, jobs
+}
+
 // follow reads the registry until ctx ends.
 func (p *Planner) follow(ctx context.Context) error {
 	tick := time.NewTicker(registryInterval)
