--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -49,7 +49,6 @@
 	Spread int
 	Beside map[string]int
 
-	Team     string
 	Service  string
 	Priority int
 	Accepted time.Time
@@ -67,9 +66,6 @@
 	// Seats are the workers, by position in the view, on which room is being
 	// made for the tasks.
 	Seats []int
-	// Worth ranks jobs of one priority by what they are worth to their team for
-	// the capacity they use.
-	Worth float64
 }
 
 // total returns what all tasks of the group need.
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -177,7 +177,7 @@
 	g := assignment.Group{
 		Job: j.spec.ID, Occurrence: occurrence, Step: step,
 		Need: s.Counted(), Gang: s.Gang, Adjacent: s.Adjacent, Label: s.Label, Rack: s.Rack, Spread: s.Spread,
-		Team: j.spec.Team, Service: p.service(j), Priority: j.queue.Priority, Accepted: due, Length: length,
+		Service: p.service(j), Priority: j.queue.Priority, Accepted: due, Length: length,
 		Objective: due.Add(time.Duration(j.queue.Stretch*float64(whole)) + j.queue.Target),
 	}
 	if s.Spread > 0 {
@@ -360,7 +360,7 @@
 	return best.Checkpoint
 }
 
-// send sends the order of a run that is stored by now. The caller holds
+// send gives the order of a run that is stored by now. The caller holds
 // the lock.
 func (p *Planner) send(pl *placement) {
 	if pl.phase != phaseReserved || pl.worker.placements[pl.id] != pl {
