control: acknowledge no end before the job's changes are stored

When the planner lost its term before the change was stored, and the first worker had left, nothing told the next planner that the gang was done. The test failed before: the second worker kept no end.

--- a/scheduler/control/job_test.go
+++ b/scheduler/control/job_test.go
@@ -8,6 +8,7 @@
 
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/platform/memory"
 	"daisylug.example/scheduler/term"
 )
 
@@ -202,3 +203,32 @@
 		}
 	})
 }
+
+// TestEndsAreStoredBeforeTheyAreAcknowledged ends a gang on two workers while
+// the store is away. One end stands for the whole gang, but the other worker
+// must not forget its own before that is stored.
+func TestEndsAreStoredBeforeTheyAreAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 2)
+		p, stop := f.planner()
+		defer stop()
+		time.Sleep(settle)
+		f.submit(p, batchJob("g", "urgent", "a", "2s", gang(2, 8)))
+		time.Sleep(time.Second)
+		f.store.SetFaults(memory.Faults{Outage: true})
+		time.Sleep(4 * time.Second)
+		for id, r := range f.runners {
+			if n := r.Unacknowledged(); n != 1 {
+				t.Errorf("%d ends kept on %s", n, id)
+			}
+		}
+		f.store.SetFaults(memory.Faults{})
+		time.Sleep(3 * time.Second)
+		f.expect(p, "urgent", "g", batch.JobDone)
+		for id, r := range f.runners {
+			if n := r.Unacknowledged(); n != 0 {
+				t.Errorf("%d ends kept on %s", n, id)
+			}
+		}
+	})
+}
--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -143,6 +143,11 @@
 func (p *Planner) ended(w *worker, e platform.EndedTask) {
 	pl := w.placements[e.Task]
 	if pl == nil || pl.run != e.Number {
+		if j := p.jobs[e.Task.Job]; j != nil && (j.dirty || !p.committing.IsZero()) {
+			// The end of another member may have finished this task as well, and
+			// that is not stored yet.
+			p.acknowledgeAfter(w, e.Sequence, j)
+		}
 		return
 	}
 	j := pl.job
@@ -152,14 +157,7 @@
 		level = 1
 	}
 	p.Log.V(level).Info("run ended", "task", e.Task, "run", e.Number, "how", e.How, "worker", w.info.ID, "after", pl.ran(time.Now()))
-	w.outstanding[e.Sequence] = struct{}{}
-	life := w.life
-	p.touch(j, func() {
-		if w.life == life {
-			delete(w.outstanding, e.Sequence)
-			w.nudge()
-		}
-	})
+	p.acknowledgeAfter(w, e.Sequence, j)
 	if e.Checkpoint != "" {
 		pl.checkpoint = e.Checkpoint
 	}
@@ -184,6 +182,19 @@
 	return now.Sub(pl.since)
 }
 
+// acknowledgeAfter lets an end be acknowledged once the job's changes are
+// stored. The caller holds the lock.
+func (p *Planner) acknowledgeAfter(w *worker, sequence int64, j *job) {
+	life := w.life
+	w.outstanding[sequence] = struct{}{}
+	p.touch(j, func() {
+		if w.life == life {
+			delete(w.outstanding, sequence)
+			w.nudge()
+		}
+	})
+}
+
 // done finishes a task, or all tasks of a gang. The caller holds the lock.
 func (p *Planner) done(pl *placement) {
 	j := pl.job
--- a/scheduler/platform/memory/runner.go
+++ b/scheduler/platform/memory/runner.go
@@ -223,3 +223,11 @@
 	defer r.mu.Unlock()
 	return r.info
 }
+
+// Unacknowledged returns the number of ends that are not acknowledged.
+func (r *Runner) Unacknowledged() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+	return len(r.ended)
+}
