assignment: a backlog of urgent work does not keep the workers idle

Cause: room is kept free for the urgent work of the last 15 s. If more urgent work waits than all workers hold, the reserve exceeds them, and work of lower priority starts only under the rule for overdue work, which wanted room for twice all waiting tasks of a step, also where they start one by one.

Change: at most half of the accelerators are kept free, and the rule for overdue work looks at one task where tasks start one by one.

Tests: two rows of TestDecide, both fail without the change.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -138,6 +138,7 @@
 		d.free[i] = v.Workers[i].Free
 	}
 	d.all = d.pool(func(*Worker) bool { return true })
+	d.reserve = d.reserved()
 	order := rank(v)
 	for _, g := range order {
 		d.place(g)
@@ -151,6 +152,8 @@
 	free []batch.Resources
 	// all are the open workers.
 	all pool
+	// reserve is the number of accelerators that less urgent work leaves free.
+	reserve int64
 	// victims lists the runs that may be stopped on each worker.
 	victims map[victim]map[int][]int
 	// saved counts the blocked groups for which room is kept.
@@ -247,22 +250,42 @@
 	return true
 }
 
+// reserveShare is the largest part of the open workers' accelerators that is
+// kept free: work that is expected must not keep more idle than the work that
+// waits could use.
+const reserveShare = 0.5
+
+// reserved returns the reserve of this decision. It answers a backlog of urgent
+// work that needs more than all workers have: the work that waits behind it
+// still gets most of the room.
+func (d *decider) reserved() int64 {
+	all := int64(0)
+	for _, w := range d.all.workers {
+		all += d.view.Workers[w].Capacity.Accelerators
+	}
+	return min(d.view.Reserve, int64(reserveShare*float64(all)))
+}
+
 // spare reports whether the group leaves the reserve free. Urgent work comes
 // in bursts and cannot wait for others to be stopped. Of a group that can
 // start in parts, one task must fit.
 func (d *decider) spare(g *Group) bool {
-	if d.view.Reserve <= 0 || d.overdue(g) {
+	if d.reserve <= 0 || d.overdue(g) {
 		return true
 	}
 	free := int64(0)
 	for _, w := range d.all.workers {
 		free += max(d.free[w].Accelerators, 0)
 	}
-	need := g.Need.Accelerators
+	return free-g.least().Accelerators >= d.reserve
+}
+
+// least returns what the smallest part of the group that can start needs.
+func (g *Group) least() batch.Resources {
 	if g.Gang {
-		need = g.total().Accelerators
+		return g.total()
 	}
-	return free-need >= d.view.Reserve
+	return g.Need
 }
 
 // overdueAfter is how long tasks wait for the best place while there is plenty
@@ -270,7 +293,8 @@
 const overdueAfter = 1500 * time.Millisecond
 
 // overdue reports whether the tasks should no longer wait for a better place:
-// less than half of the service's capacity is in use, and they fit twice.
+// less than half of the service's capacity is in use, and they, or one of them
+// if they can start one by one, fit twice.
 func (d *decider) overdue(g *Group) bool {
 	if d.view.Now.Sub(g.Since) < overdueAfter {
 		return false
@@ -281,8 +305,12 @@
 			free, all = free.Plus(d.free[i]), all.Plus(w.Capacity)
 		}
 	}
+	tasks := 1
+	if g.Gang {
+		tasks = len(g.Indexes)
+	}
 	half := batch.Resources{MilliCPU: all.MilliCPU / 2, MemoryMB: all.MemoryMB / 2, Accelerators: all.Accelerators / 2}
-	return half.Fits(free) && d.room(g, d.all.workers) >= len(g.Indexes) && g.total().Times(2).Fits(free)
+	return half.Fits(free) && d.room(g, d.all.workers) >= tasks && g.least().Times(2).Fits(free)
 }
 
 // find returns a worker of the pool for each task of a gang, for as many tasks
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -191,6 +191,37 @@
 				}
 			},
 		},
+		{
+			name: "a backlog of urgent work does not keep the workers idle",
+			view: func() View {
+				other := tasks("other", 64, 1)
+				other.Priority, other.Since = 2, now
+				return View{Now: now, Workers: racks(1), Groups: []Group{other}, Reserve: 3000}
+			},
+			check: func(t *testing.T, _ View, d Decision) {
+				if len(d.Starts) != 32 {
+					t.Errorf("%d starts", len(d.Starts))
+				}
+			},
+		},
+		{
+			name: "tasks that wait too long start one by one while half of the room is free",
+			view: func() View {
+				other := tasks("other", 40, 1)
+				other.Priority, other.Since = 2, now.Add(-2*time.Second)
+				v := View{Now: now, Workers: racks(1), Groups: []Group{other}, Reserve: 37}
+				for i := range 3 {
+					use(&v.Workers[i], 8)
+				}
+				return v
+			},
+			check: func(t *testing.T, _ View, d Decision) {
+				// 40 of 64 are free, of which half of all may be taken.
+				if len(d.Starts) < 8 {
+					t.Errorf("%d starts", len(d.Starts))
+				}
+			},
+		},
 		{
 			name: "an adjacent gang is spread after a while if most of the room is free",
 			view: func() View {
