Reach workers through instances near them, bound the sessions, read by feed

Cause: on the small twin of the large deployment (23 instances of 2 Mbit/s, 120 workers) the planner's link is full. On the large deployment each of 147 instances kept a session with each other one and told each its whole list of contacts, and listed all instances every 2 s.

Change: - platform.Mirror keeps the rows of a table by its feed; the registry of workers and the directory of instances use it. - member.WithHubs: in a group of more than 48 instances each keeps sessions with the largest three of each data centre, two others of its own, and the planner. - package relay: a planner with more workers than its link or processor carry hands its calls, many in one message, to instances of the workers' data centres. Errors keep their meaning; a call that was surely not made is told from one of unknown outcome; an instance that does not answer gets no calls for 2 s; one that was paused does not make a call whose time has run out. - control: a look without news no longer causes a decision; a planner without a confirmed term sends no start. - Calls of the store that go through another instance are spread over all.

Tests: TestRegistryReadsWhatHasChanged, TestHubs, the tests of package relay, TestFaults through relays, TestRelayFails.

--- a/daisylugd/entry/directory.go
+++ b/daisylugd/entry/directory.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -14,12 +16,8 @@
 // other.
 const instanceTable = "instance"
 
-const (
-	// announceRetry is the time between two tries to write the own row.
-	announceRetry = 500 * time.Millisecond
-	// listLimit is above the number of instances of any deployment.
-	listLimit = 500
-)
+// announceRetry is the time between two tries to write the own row.
+const announceRetry = 500 * time.Millisecond
 
 func instanceKey(name string) platform.RowKey {
 	return platform.RowKey{Table: instanceTable, Key: name}
@@ -28,7 +26,7 @@
 // announce writes the row of this instance.
 func (e *Entry) announce(ctx context.Context) error {
 	value, err := proto.Marshal(&schema.InstanceRecord{
-		Name: e.settings.Name, Centre: e.settings.DataCentre, Region: e.settings.Region,
+		Name: e.settings.Name, Centre: e.settings.DataCentre, Region: e.settings.Region, Weight: int32(e.weight()),
 	})
 	if err != nil {
 		return err
@@ -52,43 +50,50 @@
 // directory lists the instances from the seeds and the rows of the store.
 type directory struct {
 	entry *Entry
-	rows  []platform.Instance
+	rows  *platform.Mirror
+	known map[string]platform.Instance
 }
 
 var _ platform.Directory = (*directory)(nil)
 
+func newDirectory(e *Entry) *directory {
+	return &directory{
+		entry: e, rows: platform.NewMirror(e.services.Store, instanceTable), known: map[string]platform.Instance{},
+	}
+}
+
 // List implements platform.Directory. Without the store it returns what it
 // knows.
 func (d *directory) List(ctx context.Context) (platform.Listing, error) {
-	page, err := d.entry.services.Store.List(ctx, platform.Range{Table: instanceTable, Limit: listLimit})
-	if err == nil {
-		d.rows = d.rows[:0]
-		for _, r := range page.Rows {
-			m := &schema.InstanceRecord{}
-			if err := proto.Unmarshal(r.Value, m); err != nil {
-				d.entry.log.Error(err, "row of an instance cannot be read", "instance", r.Key)
-				continue
-			}
-			d.rows = append(d.rows, instance(m.GetName(), m.GetRegion(), m.GetCentre()))
-		}
-	} else if ctx.Err() == nil {
-		d.entry.log.Info("instances cannot be listed, those known stay", "known", len(d.rows), "error", err)
+	changed, err := d.rows.Update(ctx)
+	if err != nil && ctx.Err() == nil {
+		d.entry.log.Info("instances cannot be listed, those known stay", "known", len(d.known), "error", err)
 	}
-	l := platform.Listing{AsOf: time.Now(), Instances: append([]platform.Instance(nil), d.rows...)}
-	known := map[string]bool{}
-	for _, i := range l.Instances {
-		known[i.Name] = true
+	for _, r := range changed {
+		delete(d.known, r.Key)
+		if r.Deleted {
+			continue
+		}
+		m := &schema.InstanceRecord{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			d.entry.log.Error(err, "row of an instance cannot be read", "instance", r.Key)
+			continue
+		}
+		d.known[r.Key] = instance(m.GetName(), m.GetRegion(), m.GetCentre(), int(m.GetWeight()))
 	}
+	l := platform.Listing{AsOf: time.Now(), Instances: slices.Collect(maps.Values(d.known))}
 	for _, s := range *d.entry.seeds.Load() {
-		if !known[s] {
-			l.Instances = append(l.Instances, instance(s, "", ""))
+		if _, ok := d.known[s]; !ok {
+			l.Instances = append(l.Instances, instance(s, "", "", 0))
 		}
 	}
 	return l, nil
 }
 
-func instance(name, region, centre string) platform.Instance {
+// instance describes an instance; one of unknown size has weight 0 and counts
+// as small.
+func instance(name, region, centre string, weight int) platform.Instance {
 	return platform.Instance{
-		Name: name, Region: region, DataCentre: centre, Peer: name, Weight: 1, State: platform.StateLive,
+		Name: name, Region: region, DataCentre: centre, Peer: name, Weight: max(weight, 1), State: platform.StateLive,
 	}
 }
--- a/daisylugd/entry/elect.go
+++ b/daisylugd/entry/elect.go
@@ -79,6 +79,8 @@
 		if since.IsZero() || holder != seen {
 			seen, since = holder, time.Now()
 		}
+		// Calls are passed to the planner, hub of the group or not.
+		e.group.Seek(instance(holder.Name, "", "", 0))
 		reason := e.evidence(holder, time.Since(since), known, silence).vacant()
 		if reason == "" {
 			vacant = time.Time{}
@@ -208,7 +210,7 @@
 		return err
 	}
 	p := control.New(control.Dependencies{
-		Term: t, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.services.Dialer,
+		Term: t, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.router,
 		Adviser:   e.services.Adviser,
 		Catalogue: e.catalogue, Timing: e.settings.Timing,
 		Log: e.log.WithValues("generation", t.Generation()), Metrics: e.metrics,
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -16,6 +16,7 @@
 	"daisylug.example/scheduler/control"
 	"daisylug.example/scheduler/member"
 	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/relay"
 )
 
 // Snapshot is a configuration as the platform's adapter decoded it.
@@ -50,6 +51,9 @@
 	// Cores is the instance's share of processors; the planner runs where it
 	// is largest.
 	Cores float64
+	// Link is the speed of the instance's link in bytes a second, or 0 if it is
+	// not known.
+	Link float64
 	// Seeds are addresses of instances to begin with.
 	Seeds []string
 	// Freshness is the age up to which a configuration is acted on.
@@ -70,6 +74,7 @@
 	confirmed atomic.Pointer[time.Time]
 	seeds     atomic.Pointer[[]string]
 	planner   atomic.Pointer[control.Planner]
+	router    *relay.Router
 	draining  atomic.Bool
 }
 
@@ -82,10 +87,13 @@
 	e.SetSeeds(settings.Seeds)
 	self := platform.Instance{
 		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Peer: settings.Name,
-		Weight: max(int(settings.Cores*weightPerCore), 1),
+		Weight: e.weight(),
 	}
-	e.group = member.New(self, &directory{entry: e}, services.Peers, member.WithLogger(log), member.WithWholeMesh())
+	e.group = member.New(self, newDirectory(e), services.Peers, member.WithLogger(log),
+		member.WithWholeMesh(), member.WithHubs(meshLimit, hubsPerCentre))
 	services.Store.serve(e.group)
+	e.router = relay.NewRouter(e.group, services.Dialer, e.incarnation, e.busy, log)
+	e.group.Handle(relay.Method, member.Typed(relay.NewDesk(services.Dialer, log).Exchange))
 	e.handle()
 	return e
 }
@@ -96,6 +104,42 @@
 // weightPerCore is the weight of an instance with one core.
 const weightPerCore = 1000
 
+const (
+	// meshLimit is the number of instances up to which each keeps a session with
+	// each other one; above it, their heartbeats would take a tenth of a core of
+	// the smallest instances.
+	meshLimit = 48
+	// hubsPerCentre is the number of instances of each data centre with which
+	// all keep a session in larger deployments; two of them may be lost.
+	hubsPerCentre = 3
+)
+
+const (
+	// lookBytes is what the calls to one worker take of the link each second: a
+	// look with its headers, the answer, and starts.
+	lookBytes = 1500
+	// linkShare is the part of the link that calls to workers may take, so that
+	// bursts of them, the store and the other instances find room.
+	linkShare = 0.2
+	// workersPerCore is the number of workers whose calls take less than half of
+	// a core.
+	workersPerCore = 500
+)
+
+// busy reports whether the planner of this instance has more workers than its
+// link and processor carry.
+func (e *Entry) busy() bool {
+	p := e.planner.Load()
+	if p == nil {
+		return false
+	}
+	workers := float64(p.Workers())
+	return workers > workersPerCore*e.settings.Cores || e.settings.Link > 0 && workers*lookBytes > linkShare*e.settings.Link
+}
+
+// weight returns the weight of the instance in the choice of the planner.
+func (e *Entry) weight() int { return max(int(e.settings.Cores*weightPerCore), 1) }
+
 // Run takes part until ctx ends.
 func (e *Entry) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -113,6 +157,7 @@
 // Drain withdraws readiness and hands the planning over.
 func (e *Entry) Drain() {
 	e.draining.Store(true)
+	e.group.SetValue(relay.Draining, []byte{1})
 	if p := e.planner.Load(); p != nil {
 		p.Resign()
 	}
--- a/daisylugd/entry/store.go
+++ b/daisylugd/entry/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -161,7 +162,10 @@
 		return platform.Page{}, err
 	}
 	asked := 0
-	for _, p := range s.group.Peers() {
+	peers := s.group.Peers()
+	// The instances that are turned away do not all ask the same ones.
+	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	for _, p := range peers {
 		if !p.Connected || p.Health != member.HealthAlive {
 			continue
 		}
--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -65,6 +65,8 @@
 	Reclaim bool
 	// Fresh is set if no run of the job has started yet.
 	Fresh bool
+	// Idle is set if no run of the job is in progress.
+	Idle bool
 	// Seats are the workers, by position in the view, on which room is being
 	// made for the tasks.
 	Seats []int
@@ -277,15 +279,11 @@
 	for _, w := range d.all.workers {
 		free += max(d.free[w].Accelerators, 0)
 	}
-	return free-g.least().Accelerators >= d.reserve
-}
-
-// least returns what the smallest part of the group that can start needs.
-func (g *Group) least() batch.Resources {
+	need := g.Need.Accelerators
 	if g.Gang {
-		return g.total()
+		need = g.total().Accelerators
 	}
-	return g.Need
+	return free-need >= d.reserve
 }
 
 // overdueAfter is how long tasks wait for the best place while there is plenty
@@ -293,8 +291,9 @@
 const overdueAfter = 1500 * time.Millisecond
 
 // overdue reports whether the tasks should no longer wait for a better place:
-// less than half of the service's capacity is in use, and they, or one of them
-// if they can start one by one, fit twice.
+// less than half of the service's capacity is in use, and they fit twice. Of a
+// job of which nothing runs one task is enough, if they can start one by one;
+// more of them would be stopped again for the work that is expected.
 func (d *decider) overdue(g *Group) bool {
 	if d.view.Now.Sub(g.Since) < overdueAfter {
 		return false
@@ -305,12 +304,12 @@
 			free, all = free.Plus(d.free[i]), all.Plus(w.Capacity)
 		}
 	}
-	tasks := 1
-	if g.Gang {
-		tasks = len(g.Indexes)
+	tasks, need := len(g.Indexes), g.total()
+	if g.Idle && !g.Gang {
+		tasks, need = 1, g.Need
 	}
 	half := batch.Resources{MilliCPU: all.MilliCPU / 2, MemoryMB: all.MemoryMB / 2, Accelerators: all.Accelerators / 2}
-	return half.Fits(free) && d.room(g, d.all.workers) >= tasks && g.least().Times(2).Fits(free)
+	return half.Fits(free) && d.room(g, d.all.workers) >= tasks && need.Times(2).Fits(free)
 }
 
 // find returns a worker of the pool for each task of a gang, for as many tasks
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -205,7 +205,25 @@
 			},
 		},
 		{
-			name: "tasks that wait too long start one by one while half of the room is free",
+			name: "one task of an idle job that has waited too long starts while half of the room is free",
+			view: func() View {
+				other, going := tasks("other", 40, 1), tasks("going", 40, 1)
+				other.Priority, other.Since, other.Idle = 2, now.Add(-2*time.Second), true
+				going.Priority, going.Since = 2, now.Add(-2*time.Second)
+				v := View{Now: now, Workers: racks(1), Groups: []Group{other, going}, Reserve: 37}
+				for i := range 4 {
+					use(&v.Workers[i], 8)
+				}
+				return v
+			},
+			check: func(t *testing.T, v View, d Decision) {
+				if n, m := len(v.started(d, "other")), len(v.started(d, "going")); n != 1 || m != 0 {
+					t.Errorf("%d and %d starts", n, m)
+				}
+			},
+		},
+		{
+			name: "tasks that have waited long do not use the reserve while half of the room is free",
 			view: func() View {
 				other := tasks("other", 40, 1)
 				other.Priority, other.Since = 2, now.Add(-2*time.Second)
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -145,6 +145,7 @@
 			}
 			g.Reclaim = covered
 			g.Fresh = !j.started
+			g.Idle = j.placed == 0
 			v.in.Groups = append(v.in.Groups, g)
 			v.jobs = append(v.jobs, j)
 		}
--- a/scheduler/control/fault_test.go
+++ b/scheduler/control/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,19 +122,48 @@
 		},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
+		for _, relayed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, calls through others %v", tt.name, relayed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFloor(t, 8)
+					if relayed {
+						f.relay(2)
+					}
+					p, stop := f.planner()
+					time.Sleep(settle)
+					f.submit(p, batchJob("j", "later", "a", cmp.Or(tt.payload, "2s"), one))
+					time.Sleep(time.Second)
+					p, stop = tt.fault(f, p, stop)
+					defer stop()
+					time.Sleep(tt.after)
+					f.expect(p, "later", "j", tt.want)
+					if n := f.starts("j"); n != tt.starts {
+						t.Errorf("%d starts, want %d", n, tt.starts)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestRelayFails freezes an instance that makes calls, at each moment of a
+// gang's run. Nothing runs twice, and nothing is given up.
+func TestRelayFails(t *testing.T) {
+	for _, at := range []time.Duration{0, 5, 20, 100, 500, 1500, 2500} {
+		t.Run(fmt.Sprint(at), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFloor(t, 8)
+				g := f.relay(2)
 				p, stop := f.planner()
-				time.Sleep(settle)
-				f.submit(p, batchJob("j", "later", "a", cmp.Or(tt.payload, "2s"), one))
-				time.Sleep(time.Second)
-				p, stop = tt.fault(f, p, stop)
 				defer stop()
-				time.Sleep(tt.after)
-				f.expect(p, "later", "j", tt.want)
-				if n := f.starts("j"); n != tt.starts {
-					t.Errorf("%d starts, want %d", n, tt.starts)
+				time.Sleep(settle)
+				f.submit(p, batchJob("g", "urgent", "a", "3s", gang(8, 8)))
+				time.Sleep(at * time.Millisecond)
+				g.freeze("a", 4*time.Second)
+				time.Sleep(10 * time.Second)
+				f.expect(p, "urgent", "g", batch.JobDone)
+				if n := f.starts("g"); n != 8 {
+					t.Errorf("%d starts, want those of one gang", n)
 				}
 			})
 		})
--- a/scheduler/control/floor_test.go
+++ b/scheduler/control/floor_test.go
@@ -8,11 +8,15 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/member"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
+	"daisylug.example/scheduler/relay"
+	"daisylug.example/scheduler/schema"
 	"daisylug.example/scheduler/term"
 )
 
@@ -34,6 +38,8 @@
 	// wrap changes how workers are reached, if it is not nil.
 	wrap    func(platform.Runner) platform.Runner
 	adviser platform.Adviser
+	// router reaches the workers, if it is not nil.
+	router *relay.Router
 }
 
 // heartbeat is the time between two heartbeats of a worker of the floor.
@@ -119,8 +125,12 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	var dialer Dialer = f
+	if f.router != nil {
+		dialer = f.router
+	}
 	p := New(Dependencies{
-		Term: seized, Store: f.store, Registry: f, Dialer: f, Adviser: f.adviser, Catalogue: func() *Catalogue { return f.catalogue },
+		Term: seized, Store: f.store, Registry: f, Dialer: dialer, Adviser: f.adviser, Catalogue: func() *Catalogue { return f.catalogue },
 		Timing: Timing{Lease: lease, Stop: stopTime, Heartbeat: heartbeat, Retention: time.Minute},
 		Log:    klog.Background(), Metrics: metrics.NewSet(),
 	})
@@ -217,3 +227,63 @@
 	defer f.mu.Unlock()
 	f.unlisted[r.Info().ID] = true
 }
+
+// relays are instances through which a planner reaches the workers.
+type relays struct {
+	desks map[string]*relay.Desk
+	mu    sync.Mutex
+	// resumes is when a frozen instance goes on.
+	resumes map[string]time.Time
+}
+
+// relay lets n instances make the calls to the workers.
+func (f *floor) relay(n int) *relays {
+	g := &relays{desks: map[string]*relay.Desk{}, resumes: map[string]time.Time{}}
+	for i := range n {
+		g.desks[string(rune('a'+i))] = relay.NewDesk(f, klog.Background())
+	}
+	// Calls that were begun end by themselves.
+	f.t.Cleanup(func() { time.Sleep(5 * time.Second) })
+	f.router = relay.NewRouter(g, f, 1, func() bool { return true }, klog.Background())
+	return g
+}
+
+// freeze stops an instance for a while.
+func (g *relays) freeze(name string, d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.resumes[name] = time.Now().Add(d)
+}
+
+// Peers implements relay.Group.
+func (g *relays) Peers() []member.Peer {
+	var all []member.Peer
+	for name := range g.desks {
+		all = append(all, member.Peer{
+			Instance: platform.Instance{Name: name, Weight: 1, State: platform.StateLive}, Connected: true, Health: member.HealthAlive,
+		})
+	}
+	return all
+}
+
+// Call implements relay.Group.
+func (g *relays) Call(ctx context.Context, name, method string, request, response proto.Message) error {
+	answer := make(chan proto.Message, 1)
+	go func() {
+		g.mu.Lock()
+		resumes := g.resumes[name]
+		g.mu.Unlock()
+		time.Sleep(max(time.Until(resumes), time.Millisecond))
+		a, err := g.desks[name].Exchange(context.WithoutCancel(ctx), platform.Instance{Name: "planner"}, request.(*schema.RelayRequest))
+		if err == nil {
+			answer <- a
+		}
+	}()
+	select {
+	case a := <-answer:
+		proto.Merge(response, a)
+		return nil
+	case <-ctx.Done():
+		return &member.UnknownError{Instance: name, Method: method, Cause: ctx.Err()}
+	}
+}
--- a/scheduler/control/order.go
+++ b/scheduler/control/order.go
@@ -29,8 +29,10 @@
 		}
 		w := pl.worker
 		now := time.Now()
-		if w.failures >= silentAfter && try > 0 {
-			// The next look that is answered shows whether the run is there.
+		if w.failures >= silentAfter && try > 0 || p.Term.Age() > MandateTime {
+			// The next look that is answered shows whether the run is there, and
+			// after a long time without a transaction another planner may be in
+			// office.
 			p.mu.Unlock()
 			if !p.pause(try) {
 				return
--- a/scheduler/control/outcome.go
+++ b/scheduler/control/outcome.go
@@ -33,7 +33,9 @@
 		p.checkMissing(w, present, begun)
 	}
 	p.throttle(w, now)
-	p.wake()
+	if len(state.Ended) > 0 {
+		p.wake()
+	}
 }
 
 // reborn notes a new process of a worker. What an earlier one ran is lost, but
@@ -43,6 +45,7 @@
 		p.Log.Info("worker has restarted", "worker", w.info.ID, "life", state.Life)
 	}
 	w.life = state.Life
+	p.wake()
 	p.recall(w, state.Life)
 	// From here on the worker obeys no earlier planner.
 	w.lapse = time.Now().Add(p.leaseTime())
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -200,6 +200,13 @@
 	p.wake()
 }
 
+// Workers returns the number of workers that the planner commands.
+func (p *Planner) Workers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.workers)
+}
+
 // Wake makes the planner decide again.
 func (p *Planner) Wake() { p.wake() }
 
--- a/scheduler/member/group.go
+++ b/scheduler/member/group.go
@@ -47,6 +47,7 @@
 	watchers map[chan struct{}]struct{}
 	// whole makes all instances peers of one data centre.
 	whole bool
+	hubs  hubs
 	// mute turns vouchers off, for the test that shows what they prevent.
 	mute bool
 }
--- a/scheduler/member/heartbeat.go
+++ b/scheduler/member/heartbeat.go
@@ -86,7 +86,7 @@
 	// nothing has changed.
 	all := []*schema.Peer{toPeer(g.self, g.incarnation)}
 	for _, p := range g.peers {
-		if p.local && p.member() && p != l.peer {
+		if p.local && !p.unwanted && p.member() && p != l.peer {
 			all = append(all, toPeer(p.inst, p.incarnation))
 		}
 	}
--- a/scheduler/member/observe.go
+++ b/scheduler/member/observe.go
@@ -27,7 +27,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forgivePause(now)
+	g.choose()
 	for name, p := range g.peers {
+		if p.unwanted && !g.hubs.own {
+			p.ignore()
+		}
 		wasSilent := p.silent(now.Add(-tickInterval))
 		if p.expire(now) {
 			g.log.Info("instance is considered dead", "instance", name, "incarnation", p.incarnation)
@@ -93,7 +97,7 @@
 			return
 		}
 		for _, p := range g.peers {
-			if p.local && p.heard.IsZero() {
+			if p.local && !p.unwanted && p.heard.IsZero() {
 				return
 			}
 		}
@@ -114,6 +118,13 @@
 			}
 			continue
 		}
+		if p.unwanted {
+			// A hub leaves it to the others whether they need the session.
+			if l := p.link; l != nil && l.dialler == g.self.Name && !g.hubs.own {
+				l.close()
+			}
+			continue
+		}
 		if p.dialling || now.Before(p.retry) {
 			continue
 		}
--- a/scheduler/member/peer.go
+++ b/scheduler/member/peer.go
@@ -43,6 +43,9 @@
 	incarnation uint64
 	local       bool
 	listed      bool
+	// unwanted is set if no session with it is needed; one that it has opened
+	// is kept.
+	unwanted bool
 	// heard includes the word of others, direct does not.
 	heard  time.Time
 	direct time.Time
--- /dev/null
+++ b/scheduler/relay/record.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"errors"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+)
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func encodeRun(r platform.Run) *schema.RelayRun {
+	return &schema.RelayRun{
+		Job: r.Task.Job, Occurrence: int32(r.Task.Occurrence), Step: int32(r.Task.Step), Index: int32(r.Task.Index),
+		Number: int32(r.Number),
+	}
+}
+
+func decodeRun(m *schema.RelayRun) platform.Run {
+	return platform.Run{
+		Task: batch.TaskID{
+			Job: m.GetJob(), Occurrence: int(m.GetOccurrence()), Step: int(m.GetStep()), Index: int(m.GetIndex()),
+		},
+		Number: int(m.GetNumber()),
+	}
+}
+
+func encodeState(a *schema.RelayAnswer, s platform.RunnerState) {
+	a.Life = s.Life
+	for _, r := range s.Running {
+		a.Running = append(a.Running, &schema.RelayRunning{
+			Run: encodeRun(r.Run), Checkpoint: r.Checkpoint, Progress: float32(r.Progress), Tail: r.Tail.Milliseconds(),
+		})
+	}
+	for _, e := range s.Ended {
+		a.Ended = append(a.Ended, &schema.RelayEnd{
+			Run: encodeRun(e.Run), Sequence: e.Sequence, How: string(e.How), Checkpoint: e.Checkpoint,
+		})
+	}
+}
+
+func decodeState(a *schema.RelayAnswer) platform.RunnerState {
+	s := platform.RunnerState{Clock: milliseconds(a.GetClock()), Life: a.GetLife()}
+	for _, r := range a.GetRunning() {
+		s.Running = append(s.Running, platform.RunningTask{
+			Run: decodeRun(r.GetRun()), Checkpoint: r.GetCheckpoint(), Progress: float64(r.GetProgress()),
+			Tail: milliseconds(r.GetTail()),
+		})
+	}
+	for _, e := range a.GetEnded() {
+		s.Ended = append(s.Ended, platform.EndedTask{
+			Sequence: e.GetSequence(), Run: decodeRun(e.GetRun()), How: platform.End(e.GetHow()), Checkpoint: e.GetCheckpoint(),
+		})
+	}
+	return s
+}
+
+// failure returns the answer to a call that failed.
+func failure(c *schema.RelayCall, err error) *schema.RelayAnswer {
+	a := &schema.RelayAnswer{Id: c.GetId(), Reason: err.Error()}
+	var (
+		fenced      *platform.FencedError
+		old         *platform.OldRunError
+		late        *platform.LateError
+		full        *platform.FullError
+		sick        *platform.SickError
+		reborn      *platform.RebornError
+		rejected    *platform.RejectedError
+		ticket      *platform.TicketError
+		unavailable *platform.UnavailableError
+	)
+	at := time.Duration(0)
+	switch {
+	case errors.As(err, &fenced):
+		a.Failure, at = schema.RelayFailure_RELAY_FAILURE_FENCED, fenced.Clock
+	case errors.As(err, &old):
+		a.Failure, at = schema.RelayFailure_RELAY_FAILURE_OLD, old.Clock
+	case errors.As(err, &late):
+		a.Failure, at = schema.RelayFailure_RELAY_FAILURE_LATE, late.Clock
+	case errors.As(err, &full):
+		a.Failure, at = schema.RelayFailure_RELAY_FAILURE_FULL, full.Clock
+	case errors.As(err, &ticket):
+		a.Failure, at = schema.RelayFailure_RELAY_FAILURE_TICKET, ticket.Clock
+	case errors.As(err, &sick):
+		a.Failure, a.Status = schema.RelayFailure_RELAY_FAILURE_SICK, int32(sick.Status)
+	case errors.As(err, &reborn):
+		a.Failure = schema.RelayFailure_RELAY_FAILURE_REBORN
+	case errors.As(err, &rejected):
+		a.Failure, a.Status, a.Reason = schema.RelayFailure_RELAY_FAILURE_REJECTED, int32(rejected.Status), rejected.Reason
+	case errors.As(err, &unavailable):
+		a.Failure = schema.RelayFailure_RELAY_FAILURE_UNAVAILABLE
+	default:
+		a.Failure = schema.RelayFailure_RELAY_FAILURE_UNKNOWN
+	}
+	a.Clock = at.Milliseconds()
+	return a
+}
+
+// RemoteError is the failure of a call that another instance made, in its
+// words.
+type RemoteError struct{ Reason string }
+
+func (e *RemoteError) Error() string { return e.Reason }
+
+// decodeFailure returns the error of an answer, or nil.
+func decodeFailure(a *schema.RelayAnswer) error {
+	at := milliseconds(a.GetClock())
+	switch a.GetFailure() {
+	case schema.RelayFailure_RELAY_FAILURE_UNSPECIFIED:
+		return nil
+	case schema.RelayFailure_RELAY_FAILURE_FENCED:
+		return &platform.FencedError{Clock: at}
+	case schema.RelayFailure_RELAY_FAILURE_OLD:
+		return &platform.OldRunError{Clock: at}
+	case schema.RelayFailure_RELAY_FAILURE_LATE:
+		return &platform.LateError{Clock: at}
+	case schema.RelayFailure_RELAY_FAILURE_FULL:
+		return &platform.FullError{Clock: at}
+	case schema.RelayFailure_RELAY_FAILURE_TICKET:
+		return &platform.TicketError{Clock: at}
+	case schema.RelayFailure_RELAY_FAILURE_SICK:
+		return &platform.SickError{Status: int(a.GetStatus())}
+	case schema.RelayFailure_RELAY_FAILURE_REBORN:
+		return &platform.RebornError{}
+	case schema.RelayFailure_RELAY_FAILURE_REJECTED:
+		return &platform.RejectedError{Status: int(a.GetStatus()), Reason: a.GetReason()}
+	case schema.RelayFailure_RELAY_FAILURE_UNAVAILABLE:
+		return &platform.UnavailableError{Service: "worker", Cause: &RemoteError{a.GetReason()}}
+	}
+	// Of a failure that a later version names nothing is known.
+	return &platform.UnknownError{Service: "worker", Cause: &RemoteError{a.GetReason()}}
+}
--- /dev/null
+++ b/scheduler/relay/record_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/uptime"
+)
+
+func TestFailuresKeepTheirMeaning(t *testing.T) {
+	c := &schema.RelayCall{Id: 3}
+	for _, err := range []error{
+		&platform.FencedError{Clock: time.Second}, &platform.OldRunError{Clock: time.Second},
+		&platform.LateError{Clock: time.Second}, &platform.FullError{Clock: time.Second},
+		&platform.TicketError{Clock: time.Second}, &platform.SickError{Status: 503}, &platform.RebornError{},
+		&platform.RejectedError{Status: 400, Reason: "no"},
+	} {
+		if got := decodeFailure(failure(c, err)); !reflect.DeepEqual(got, err) {
+			t.Errorf("%#v became %#v", err, got)
+		}
+	}
+	var unavailable *platform.UnavailableError
+	if got := decodeFailure(failure(c, &platform.UnavailableError{Service: "worker"})); !errors.As(got, &unavailable) {
+		t.Errorf("unavailable became %v", got)
+	}
+	var unknown *platform.UnknownError
+	for _, a := range []*schema.RelayAnswer{failure(c, errors.New("anything")), {Failure: 99}} {
+		if got := decodeFailure(a); !errors.As(got, &unknown) {
+			t.Errorf("%v became %v", a, got)
+		}
+	}
+}
+
+func TestStateIsKept(t *testing.T) {
+	want := platform.RunnerState{
+		Clock: 5 * time.Second, Life: 9,
+		Running: []platform.RunningTask{{Run: run("j", 1), Checkpoint: "c", Progress: 0.5, Tail: 20 * time.Millisecond}},
+		Ended:   []platform.EndedTask{{Sequence: 4, Run: run("j", 2), How: platform.EndFailed, Checkpoint: "d"}},
+	}
+	a := &schema.RelayAnswer{Clock: 5000}
+	encodeState(a, want)
+	if got := decodeState(a); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// FuzzExchange hands a desk messages of other versions, or damaged ones.
+func FuzzExchange(f *testing.F) {
+	good, err := proto.Marshal(&schema.RelayRequest{Session: 1, Payloads: []string{"1s"}, Calls: []*schema.RelayCall{
+		{Id: 1, Worker: "w0", Order: schema.RelayOrder_RELAY_ORDER_START, Run: encodeRun(run("j", 0)), Payload: 1, Budget: 50},
+		{Id: 2, Worker: "w0", Order: schema.RelayOrder_RELAY_ORDER_HOLD, Budget: 50},
+		{Id: 3, Worker: "none", Order: 17, Payload: -5, Budget: 50},
+	}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:len(good)/2])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := &schema.RelayRequest{}
+		if proto.Unmarshal(data, m) != nil {
+			return
+		}
+		w := newWorkers(1)
+		d := NewDesk(anyWorker{w["w0"]}, klog.Background())
+		for _, c := range m.GetCalls() {
+			c.Budget = min(c.GetBudget(), 5)
+			decodeFailure(d.serve(c, "", uptime.Now()))
+		}
+	})
+}
+
+// anyWorker answers under every name.
+type anyWorker struct{ runner platform.Runner }
+
+func (a anyWorker) Runner(platform.RunnerInfo) platform.Runner { return a.runner }
--- a/scheduler/term/term.go
+++ b/scheduler/term/term.go
@@ -16,6 +16,7 @@
 
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/uptime"
 )
 
 // Part is the part of all rows that a planner writes.
@@ -128,7 +129,7 @@
 func (t *Term) Age() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return sinceBoot() - t.since
+	return uptime.Now() - t.since
 }
 
 // MaxChanges is the largest number of changes of one Commit.
@@ -154,7 +155,7 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryLast
 	for {
-		begun := sinceBoot()
+		begun := uptime.Now()
 		try, cancel := context.WithTimeout(ctx, tryTimeout)
 		version, err := t.office.store.Apply(try, batch)
 		cancel()
--- a/scheduler/uptime/uptime.go
+++ b/scheduler/uptime/uptime.go
@@ -1,4 +1,7 @@
-package term
+// Package uptime tells the time since the machine was started, time in which it
+// was suspended included. Go's own steady clock stands still meanwhile, so that
+// it cannot tell whether a lease or a time limit has run out.
+package uptime
 
 import (
 	"time"
@@ -6,9 +9,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// sinceBoot reads the clock that goes on while the machine is suspended, which
-// the monotonic clock of package time does not.
-func sinceBoot() time.Duration {
+// Now returns the time since the machine was started.
+func Now() time.Duration {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
 		// Every supported kernel has this clock.
