control: work starts elsewhere when a start cannot have arrived

Cause: a start that could not be sent, for instance to a worker that has gone and is still listed, was repeated until every lease of that worker had ended, up to 7 s, although nothing can have begun.

Change: a start of which no try has arrived is given up at once, its worker gets no tasks for a while, and a member of a gang that was not ordered yet needs no stop. A call that did not get as far as the worker's neighbour is tried again on another way.

Tests: TestWorkerThatCannotBeReached, for a task and a gang, fails without.

--- a/scheduler/control/order.go
+++ b/scheduler/control/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/relay"
 )
 
 const (
@@ -40,6 +41,7 @@
 			continue
 		}
 		p.extend(w, now)
+		pl.sent = true
 		o := platform.StartOrder{
 			Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(),
 			Lease: w.lease(now, p.Timing.Lease), Payload: pl.job.spec.Payload, Checkpoint: pl.checkpoint, Ticket: pl.ticket,
@@ -79,7 +81,14 @@
 	defer p.mu.Unlock()
 	w := pl.worker
 	p.answered(w, call, err)
-	if pl.phase != phaseOrdered || w.placements[pl.id] != pl {
+	if w.placements[pl.id] != pl {
+		return true
+	}
+	if pl.phase == phaseStopping && !pl.doubtful && neverSent(err) {
+		// There is nothing to stop.
+		p.release(pl)
+	}
+	if pl.phase != phaseOrdered {
 		return true
 	}
 	now := time.Now()
@@ -92,6 +101,7 @@
 		reborn   *platform.RebornError
 		rejected *platform.RejectedError
 		ticket   *platform.TicketError
+		unsent   *platform.UnavailableError
 	)
 	switch {
 	case err == nil:
@@ -117,6 +127,14 @@
 		p.bar(w, err.Error())
 		p.refused(pl, err)
 		return true
+	case errors.As(err, &unsent) && unsent.Service == relay.Service:
+		// The next try takes another way.
+		return false
+	case neverSent(err) && !pl.doubtful:
+		// Nothing has arrived at the worker, so that the work may start elsewhere.
+		p.bar(w, err.Error())
+		p.refused(pl, err)
+		return true
 	case errors.As(err, &fenced):
 		p.Log.Info("start fenced", "task", pl.id, "run", pl.run, "worker", w.info.ID)
 		return false
@@ -126,6 +144,12 @@
 	return false
 }
 
+// neverSent reports whether nothing of a call has arrived at the worker.
+func neverSent(err error) bool {
+	var unsent *platform.UnavailableError
+	return errors.As(err, &unsent)
+}
+
 // refused gives up a run that its worker has not begun. If an earlier try of the
 // order had no answer, that try may still be carried out, so that the run is
 // stopped, which bars it. The caller holds the lock.
@@ -150,6 +174,11 @@
 	case phaseReserved:
 		p.release(pl)
 		return
+	case phaseOrdered:
+		if !pl.sent {
+			p.release(pl)
+			return
+		}
 	}
 	pl.phase = phaseStopping
 	pl.settled = time.Time{}
--- a/scheduler/control/order_test.go
+++ b/scheduler/control/order_test.go
@@ -173,3 +173,35 @@
 		})
 	}
 }
+
+// TestWorkerThatCannotBeReached starts work elsewhere when a worker has gone
+// that still counts as there, long before its leases have ended.
+func TestWorkerThatCannotBeReached(t *testing.T) {
+	for name, step := range map[string]batch.Step{
+		"task": {Tasks: 1, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}},
+		"gang": gang(2, 8),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFloor(t, 4)
+				p, stop := f.planner()
+				defer stop()
+				time.Sleep(settle)
+				for _, id := range []string{"w00", "w01"} {
+					f.runners[id].SetFaults(memory.Faults{Outage: true})
+				}
+				f.submit(p, batchJob("j", "later", "a", "2s", step))
+				time.Sleep(1500 * time.Millisecond)
+				running := 0
+				for _, r := range f.runners {
+					running += len(r.Running())
+				}
+				if running != step.Tasks {
+					t.Errorf("%d tasks run, want %d", running, step.Tasks)
+				}
+				time.Sleep(3 * time.Second)
+				f.expect(p, "later", "j", batch.JobDone)
+			})
+		})
+	}
+}
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -100,8 +100,8 @@
 	// later shows its effect.
 	settled time.Time
 	missing int
-	// doubtful is set if a try of the start had no answer.
-	doubtful bool
+	// sent is set once the start was sent, doubtful if a try of it had no answer.
+	sent, doubtful bool
 	// tail is the reported response time, share the ordered speed in percent;
 	// pacing is set while an order is on its way.
 	tail   time.Duration
--- a/scheduler/relay/desk.go
+++ b/scheduler/relay/desk.go
@@ -76,7 +76,7 @@
 				s.put(d.serve(c, payload, received))
 			}()
 		default:
-			s.put(failure(c, &platform.UnavailableError{Service: "relay", Cause: &BusyError{Calls: maxActive}}))
+			s.put(failure(c, &platform.UnavailableError{Service: Service, Cause: &BusyError{Calls: maxActive}}))
 		}
 	}
 	return &schema.RelayReply{Answers: s.collect(ctx, collectTime)}, nil
@@ -134,7 +134,7 @@
 	rest := milliseconds(c.GetBudget()) - (uptime.Now() - received)
 	if rest <= 0 {
 		d.log.Info("call was not made in time", "worker", c.GetWorker(), "order", c.GetOrder().String(), "late", -rest)
-		return failure(c, &platform.UnavailableError{Service: "relay", Cause: context.DeadlineExceeded})
+		return failure(c, &platform.UnavailableError{Service: Service, Cause: context.DeadlineExceeded})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), rest)
 	defer cancel()
--- a/scheduler/relay/lane.go
+++ b/scheduler/relay/lane.go
@@ -121,7 +121,7 @@
 	}
 	l.mu.Unlock()
 	if !sent {
-		return &platform.UnavailableError{Service: "relay", Cause: cause}
+		return &platform.UnavailableError{Service: Service, Cause: cause}
 	}
 	if errors.Is(cause, context.DeadlineExceeded) {
 		// The instance answers before that, whatever the worker does.
@@ -145,7 +145,7 @@
 		l.queue = l.queue[1:]
 		budget := w.deadline.Sub(now) - answerMargin
 		if budget <= 0 {
-			w.done <- outcome{err: &platform.UnavailableError{Service: "relay", Cause: context.DeadlineExceeded}}
+			w.done <- outcome{err: &platform.UnavailableError{Service: Service, Cause: context.DeadlineExceeded}}
 			continue
 		}
 		w.call.Budget = budget.Milliseconds()
@@ -212,7 +212,7 @@
 		for _, w := range batch {
 			if l.pending[w.call.GetId()] == w {
 				delete(l.pending, w.call.GetId())
-				w.done <- outcome{err: &platform.UnavailableError{Service: "relay", Cause: cause}}
+				w.done <- outcome{err: &platform.UnavailableError{Service: Service, Cause: cause}}
 			}
 		}
 	}
@@ -221,7 +221,7 @@
 		w.done <- outcome{err: &platform.UnknownError{Service: "worker", Cause: cause}}
 	}
 	for _, w := range l.queue {
-		w.done <- outcome{err: &platform.UnavailableError{Service: "relay", Cause: cause}}
+		w.done <- outcome{err: &platform.UnavailableError{Service: Service, Cause: cause}}
 	}
 	l.queue = nil
 }
--- a/scheduler/relay/relay.go
+++ b/scheduler/relay/relay.go
@@ -19,6 +19,9 @@
 	"daisylug.example/scheduler/schema"
 )
 
+// Service is the service that failed if a call did not get as far as the worker.
+const Service = "relay"
+
 // Method is the method of the calls between instances.
 const Method = "worker.relay"
 
