term: a planner keeps its office while it reads the stored jobs

Cause: nothing renewed the term while a new planner read the jobs.

Change: the term is renewed while the jobs are read, and pages hold 100 rows, so that each arrives well within the time for an answer.

Test: TestTermIsKeptWhileItsStateIsRead.

--- a/daisylugd/entry/elect.go
+++ b/daisylugd/entry/elect.go
@@ -215,7 +215,7 @@
 		Catalogue: e.catalogue, Timing: e.settings.Timing,
 		Log: e.log.WithValues("generation", t.Generation()), Metrics: e.metrics,
 	})
-	if err := p.Load(ctx); err != nil {
+	if err := t.While(ctx, p.Load); err != nil {
 		return err
 	}
 	e.planner.Store(p)
--- a/scheduler/control/recover.go
+++ b/scheduler/control/recover.go
@@ -12,8 +12,10 @@
 	"daisylug.example/scheduler/term"
 )
 
-// pageRows is the number of rows read at a time; the store returns at most 500.
-const pageRows = 500
+// pageRows is the number of rows read at a time. With payloads of the usual size
+// a page takes half a second on a link of 2 Mbit/s, well within the time for an
+// answer of the store.
+const pageRows = 100
 
 // RecordError reports a stored record that cannot be read.
 type RecordError struct {
--- a/scheduler/term/term.go
+++ b/scheduler/term/term.go
@@ -185,6 +185,44 @@
 	}
 }
 
+// While runs f and renews the term meanwhile. A term that is lost ends f.
+func (t *Term) While(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	renewed := make(chan error, 1)
+	go func() {
+		defer cancel()
+		renewed <- t.renew(ctx)
+	}()
+	err := f(ctx)
+	cancel()
+	if lost := <-renewed; lost != nil {
+		return lost
+	}
+	return err
+}
+
+// renew renews the term until ctx ends, and returns why it was lost.
+func (t *Term) renew(ctx context.Context) error {
+	tick := time.NewTicker(Renewal)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		// A renewal that has begun is brought to its end: the next transaction of
+		// the term depends on its outcome.
+		one, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*Lease)
+		err := t.Commit(one, nil, nil)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // ResignedError reports that the term was given up.
 type ResignedError struct{ Generation uint64 }
 
--- a/scheduler/term/term_test.go
+++ b/scheduler/term/term_test.go
@@ -154,3 +154,44 @@
 		}
 	})
 }
+
+// TestTermIsKeptWhileItsStateIsRead reads for longer than a lease.
+func TestTermIsKeptWhileItsStateIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := memory.NewRows(1)
+		mine := seize(t, rows, "a")
+		other := New(rows, "b", 1)
+		seen, err := other.Holder(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		read := func(ctx context.Context) error {
+			for range 10 {
+				time.Sleep(Lease)
+				now, err := other.Holder(ctx)
+				if err != nil || now.Version == seen.Version {
+					t.Errorf("the row stands still, error %v", err)
+				}
+				seen = now
+			}
+			return ctx.Err()
+		}
+		if err := mine.While(t.Context(), read); err != nil {
+			t.Fatal(err)
+		}
+		if err := mine.Commit(t.Context(), row1("x"), nil); err != nil {
+			t.Errorf("the first transaction after that: %v", err)
+		}
+
+		// Another instance takes over meanwhile.
+		var deposed *DeposedError
+		err = mine.While(t.Context(), func(ctx context.Context) error {
+			seize(t, rows, "b")
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		if !errors.As(err, &deposed) || deposed.By.Name != "b" {
+			t.Errorf("error %v", err)
+		}
+	})
+}
