control: ages and retention of jobs do not depend on the time of day

Cause: a job's acceptance was the time of day of the instance that received it, and its planner compared it with its own. Where the time of day of one of them jumps by seconds, a job starts late by the jump (a start waits for the acceptance), counts as older or younger than it is, and after a takeover its retention is off.

Change: the planner counts from when it gets the job and the age that the receiving instance tells; what is stored is a time on the store's clock, which all share. The wait after the store has turned an instance away no longer uses the time of day either.

Tests: TestTimeOfDayJumps, TestRetentionFollowsTheStoresClock, TestStoreClock; without the change a job that was accepted 3 s ahead had not started after a second.

--- a/daisylugd/entry/call.go
+++ b/daisylugd/entry/call.go
@@ -38,7 +38,8 @@
 // handle serves the calls of other instances to the planner.
 func (e *Entry) handle() {
 	e.group.Handle(methodSubmit, member.Typed(func(ctx context.Context, _ platform.Instance, m *schema.Submission) (proto.Message, error) {
-		return e.local(func(p *control.Planner) control.Verdict { return p.Submit(ctx, m.GetJob()) }), nil
+		age := time.Duration(m.GetAge()) * time.Millisecond
+		return e.local(func(p *control.Planner) control.Verdict { return p.Submit(ctx, m.GetJob(), age) }), nil
 	}))
 	e.group.Handle(methodCancel, member.Typed(func(ctx context.Context, _ platform.Instance, m *schema.JobRef) (proto.Message, error) {
 		return e.local(func(p *control.Planner) control.Verdict { return p.Cancel(ctx, m.GetQueue(), m.GetId()) }), nil
@@ -68,21 +69,24 @@
 		return control.Verdict{Outcome: control.OutcomeInvalid, Reason: err.Error()}
 	}
 	record := control.EncodeJob(j, q, guaranteed)
-	return e.ask(ctx, methodSubmit, &schema.Submission{Job: record}, func(p *control.Planner) control.Verdict {
-		return p.Submit(ctx, record)
+	request := func() proto.Message {
+		return &schema.Submission{Job: record, Age: time.Since(j.Accepted).Milliseconds()}
+	}
+	return e.ask(ctx, methodSubmit, request, func(p *control.Planner) control.Verdict {
+		return p.Submit(ctx, record, time.Since(j.Accepted))
 	})
 }
 
 // Cancel cancels a job.
 func (e *Entry) Cancel(ctx context.Context, queue, id string) control.Verdict {
-	return e.ask(ctx, methodCancel, &schema.JobRef{Id: id, Queue: queue}, func(p *control.Planner) control.Verdict {
+	return e.ask(ctx, methodCancel, same(&schema.JobRef{Id: id, Queue: queue}), func(p *control.Planner) control.Verdict {
 		return p.Cancel(ctx, queue, id)
 	})
 }
 
 // Pending counts the jobs of a queue that have not started.
 func (e *Entry) Pending(ctx context.Context, queue string) control.Verdict {
-	return e.ask(ctx, methodPending, &schema.JobRef{Queue: queue}, func(p *control.Planner) control.Verdict {
+	return e.ask(ctx, methodPending, same(&schema.JobRef{Queue: queue}), func(p *control.Planner) control.Verdict {
 		return p.Pending(queue)
 	})
 }
@@ -91,7 +95,7 @@
 // answer.
 func (e *Entry) State(ctx context.Context, queue, id string) control.Verdict {
 	one, cancel := context.WithTimeout(ctx, stateTimeout)
-	v := e.ask(one, methodState, &schema.JobRef{Id: id, Queue: queue}, func(p *control.Planner) control.Verdict {
+	v := e.ask(one, methodState, same(&schema.JobRef{Id: id, Queue: queue}), func(p *control.Planner) control.Verdict {
 		return p.State(queue, id)
 	})
 	cancel()
@@ -105,14 +109,17 @@
 	return stored
 }
 
+// same is a request that is alike at each try.
+func same(m proto.Message) func() proto.Message { return func() proto.Message { return m } }
+
 // ask calls the planner and finds it again when it has changed. Once a call
 // may have arrived, its failure leaves the outcome in doubt.
-func (e *Entry) ask(ctx context.Context, method string, request proto.Message, own func(*control.Planner) control.Verdict) control.Verdict {
+func (e *Entry) ask(ctx context.Context, method string, request func() proto.Message, own func(*control.Planner) control.Verdict) control.Verdict {
 	begun := time.Now()
 	doubt := false
 	last := control.Verdict{Outcome: control.OutcomeUnavailable, Wait: comeBack, Reason: "no planner is known"}
 	for ctx.Err() == nil {
-		v, err := e.askOnce(ctx, method, request, own)
+		v, err := e.askOnce(ctx, method, request(), own)
 		var unsent *member.NotSentError
 		switch {
 		case err == nil && v.Outcome == control.OutcomeInDoubt:
--- a/daisylugd/entry/store.go
+++ b/daisylugd/entry/store.go
@@ -42,8 +42,8 @@
 	direct platform.Store
 	group  *member.Group
 	log    klog.Logger
-	// avoided is until when the direct way is tried last, in nanoseconds.
-	avoided atomic.Int64
+	// avoided is until when the direct way is tried last, or nil.
+	avoided atomic.Pointer[time.Time]
 	relayed atomic.Bool
 }
 
@@ -119,7 +119,8 @@
 func (s *Store) call(ctx context.Context, wait time.Duration, method string,
 	direct func(context.Context) (platform.Page, error), message func() *schema.StoreCall,
 ) (platform.Page, error) {
-	avoiding := time.Now().UnixNano() < s.avoided.Load()
+	until := s.avoided.Load()
+	avoiding := until != nil && time.Now().Before(*until)
 	if avoiding {
 		if page, err := s.relay(ctx, wait, method, message()); isAnswer(err) {
 			return page, err
@@ -141,7 +142,8 @@
 	if !isAnswer(relayErr) {
 		return page, err
 	}
-	s.avoided.Store(time.Now().Add(avoidTime).UnixNano())
+	again := time.Now().Add(avoidTime)
+	s.avoided.Store(&again)
 	if s.relayed.CompareAndSwap(false, true) {
 		s.log.Info("store does not serve this instance, others do", "error", err)
 	}
@@ -185,7 +187,8 @@
 		case a.GetCompacted():
 			return platform.Page{}, &platform.CompactedError{Table: m.GetTable(), After: m.GetAfter()}
 		}
-		return platform.Page{Rows: rows(a.GetRows()), More: a.GetMore(), Version: a.GetVersion()}, nil
+		now := time.Duration(a.GetNow()) * time.Millisecond
+		return platform.Page{Rows: rows(a.GetRows()), More: a.GetMore(), Version: a.GetVersion(), Now: now}, nil
 	}
 	return platform.Page{}, err
 }
@@ -195,7 +198,7 @@
 func answer(page platform.Page, err error) (proto.Message, error) {
 	var changed *platform.ChangedError
 	var compacted *platform.CompactedError
-	a := &schema.StoreAnswer{Version: page.Version, More: page.More}
+	a := &schema.StoreAnswer{Version: page.Version, More: page.More, Now: page.Now.Milliseconds()}
 	switch {
 	case errors.As(err, &changed):
 		a.Changed = true
--- /dev/null
+++ b/scheduler/control/clock_test.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/term"
+)
+
+// TestTimeOfDayJumps hands jobs in through an instance whose time of day is
+// off, and lets a planner whose time of day is off take over.
+func TestTimeOfDayJumps(t *testing.T) {
+	for name, jump := range map[string]time.Duration{"ahead": 3 * time.Second, "back": -3 * time.Second, "hours": 5 * time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFloor(t, 2)
+				p, stop := f.planner()
+				time.Sleep(settle)
+				j := batchJob("j", "later", "a", "60s", gang(1, 8))
+				j.Accepted = j.Accepted.Add(jump)
+				f.submit(p, j)
+				time.Sleep(time.Second)
+				if n := f.starts("j"); n != 1 {
+					t.Errorf("%d starts a second after the job was handed in", n)
+				}
+				stop()
+				// What the row tells by the time of day is off by the jump.
+				row, err := readRow(t.Context(), f.store, jobKey("j"))
+				if err != nil || row == nil {
+					t.Fatalf("row %v, error %v", row, err)
+				}
+				m := &schema.Batch{}
+				if err := proto.Unmarshal(row.Value, m); err != nil {
+					t.Fatal(err)
+				}
+				m.Accepted += jump.Milliseconds()
+				value, err := proto.Marshal(m)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := f.store.Apply(t.Context(), platform.Batch{
+					Writes: []platform.StoredRow{{RowKey: platform.RowKey{Table: jobTable, Part: term.Part, Key: "j"}, Value: value}},
+				}); err != nil {
+					t.Fatal(err)
+				}
+				p, stop = f.planner()
+				defer stop()
+				p.mu.Lock()
+				age := time.Since(p.jobs["j"].spec.Accepted)
+				p.mu.Unlock()
+				if age < 900*time.Millisecond || age > 1500*time.Millisecond {
+					t.Errorf("the job is %v old after a takeover", age)
+				}
+			})
+		})
+	}
+}
+
+// TestRetentionFollowsTheStoresClock lets a planner whose time of day is off
+// take over: how long a job stays known does not depend on that.
+func TestRetentionFollowsTheStoresClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor(t, 2)
+		p, stop := f.planner()
+		time.Sleep(settle)
+		f.submit(p, batchJob("j", "later", "a", "100ms", gang(1, 8)))
+		time.Sleep(time.Second)
+		stop()
+		record := &schema.BatchProgress{}
+		row, err := readRow(t.Context(), f.store, progressKey("j"))
+		if err != nil || row == nil {
+			t.Fatalf("row %v, error %v", row, err)
+		}
+		if err := proto.Unmarshal(row.Value, record); err != nil {
+			t.Fatal(err)
+		}
+		record.Ended -= time.Hour.Milliseconds()
+		value, err := proto.Marshal(record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.store.Apply(t.Context(), platform.Batch{
+			Writes: []platform.StoredRow{{RowKey: progressKey("j"), Value: value}},
+		}); err != nil {
+			t.Fatal(err)
+		}
+		p, stop = f.planner()
+		defer stop()
+		time.Sleep(5 * time.Second)
+		f.expect(p, "later", "j", batch.JobDone)
+	})
+}
+
+func TestStoreClock(t *testing.T) {
+	var c storeClock
+	if c.stored(time.Now()) != 0 {
+		t.Error("a time on a clock that is not known")
+	}
+	at := time.Now()
+	c.set(10*time.Second, at)
+	if got := c.stored(at.Add(2 * time.Second)); got != 12000 {
+		t.Errorf("stored %d", got)
+	}
+	if got := c.local(7000); !got.Equal(at.Add(-3 * time.Second)) {
+		t.Errorf("local %v", got)
+	}
+	if c.stored(time.Time{}) != 0 {
+		t.Error("no time has become one")
+	}
+}
--- a/scheduler/control/floor_test.go
+++ b/scheduler/control/floor_test.go
@@ -168,7 +168,7 @@
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(f.t.Context(), 2*time.Second)
 	defer cancel()
-	if v := p.Submit(ctx, EncodeJob(j, f.catalogue.Queues[j.Queue], f.catalogue.Teams[j.Team].Guaranteed)); v.Outcome != OutcomeAccepted {
+	if v := p.Submit(ctx, EncodeJob(j, f.catalogue.Queues[j.Queue], f.catalogue.Teams[j.Team].Guaranteed), 0); v.Outcome != OutcomeAccepted {
 		f.t.Fatalf("job %s: outcome %d, %s", j.ID, v.Outcome, v.Reason)
 	}
 }
--- a/scheduler/control/job_test.go
+++ b/scheduler/control/job_test.go
@@ -165,13 +165,13 @@
 			{"a step after itself", batchJob("d", "later", "a", "1s", batch.Step{Tasks: 1, After: []int{0}}), OutcomeInvalid},
 		}
 		for _, tt := range tests {
-			v := p.Submit(t.Context(), EncodeJob(tt.job, f.catalogue.Queues["later"], 0))
+			v := p.Submit(t.Context(), EncodeJob(tt.job, f.catalogue.Queues["later"], 0), 0)
 			if v.Outcome != tt.want || v.Reason == "" {
 				t.Errorf("%s: %+v", tt.name, v)
 			}
 		}
 		stop()
-		v := p.Submit(t.Context(), EncodeJob(batchJob("e", "later", "a", "1s", gang(1, 1)), f.catalogue.Queues["later"], 0))
+		v := p.Submit(t.Context(), EncodeJob(batchJob("e", "later", "a", "1s", gang(1, 1)), f.catalogue.Queues["later"], 0), 0)
 		if v.Outcome != OutcomeUnavailable {
 			t.Errorf("after the term: %+v", v)
 		}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -85,6 +85,7 @@
 type Planner struct {
 	Dependencies
 	begun time.Time
+	clock storeClock
 	group *errgroup.Group
 	ctx   context.Context
 
@@ -297,7 +298,7 @@
 	var after []func()
 	size, taken := 0, 0
 	for _, j := range p.dirty {
-		rows, err := j.writes()
+		rows, err := j.writes(p.clock)
 		if err != nil {
 			p.Log.Error(err, "job cannot be encoded", "job", j.spec.ID)
 			taken++
--- a/scheduler/control/record.go
+++ b/scheduler/control/record.go
@@ -93,8 +93,10 @@
 }
 
 // writes returns the rows that store the job, and whether encoding worked.
-func (j *job) writes() ([]platform.StoredRow, error) {
-	progress, err := proto.Marshal(encodeProgress(j.progress))
+func (j *job) writes(clock storeClock) ([]platform.StoredRow, error) {
+	record := encodeProgress(j.progress)
+	record.Concluded = clock.stored(j.progress.Ended)
+	progress, err := proto.Marshal(record)
 	if err != nil {
 		return nil, err
 	}
@@ -102,7 +104,9 @@
 	if j.stored {
 		return rows, nil
 	}
-	spec, err := proto.Marshal(EncodeJob(j.spec, j.queue, j.guaranteed))
+	batch := EncodeJob(j.spec, j.queue, j.guaranteed)
+	batch.Arrived = clock.stored(j.spec.Accepted)
+	spec, err := proto.Marshal(batch)
 	if err != nil {
 		return nil, err
 	}
--- a/scheduler/control/recover.go
+++ b/scheduler/control/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -68,6 +69,7 @@
 		if err != nil {
 			return err
 		}
+		p.clock.set(page.Now, time.Now())
 		for _, r := range page.Rows {
 			if err := f(r); err != nil {
 				return err
@@ -89,6 +91,12 @@
 	if err != nil {
 		return err
 	}
+	if m.GetArrived() != 0 {
+		spec.Accepted = p.clock.local(m.GetArrived())
+	}
+	if record.GetConcluded() != 0 {
+		progress.Ended = p.clock.local(record.GetConcluded())
+	}
 	j := newJob(spec, q, guaranteed, progress)
 	j.stored = true
 	j.shown = j.progress.State
--- a/scheduler/control/submit.go
+++ b/scheduler/control/submit.go
@@ -51,9 +51,12 @@
 	comeBackLast = 4 * time.Second
 )
 
-// Submit accepts a job. It returns when the job is stored or ctx ends.
-func (p *Planner) Submit(ctx context.Context, r *schema.Batch) Verdict {
+// Submit accepts a job that was received age ago. It returns when the job is
+// stored or ctx ends.
+func (p *Planner) Submit(ctx context.Context, r *schema.Batch, age time.Duration) Verdict {
 	spec, q, guaranteed := DecodeJob(r)
+	// The time of day of the instance that received the job may be off.
+	spec.Accepted = time.Now().Add(-max(age, 0))
 	if err := spec.Validate(); err != nil {
 		return Verdict{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
--- a/scheduler/platform/memory/rows.go
+++ b/scheduler/platform/memory/rows.go
@@ -21,6 +21,7 @@
 
 // rowContent is what all views of a store share.
 type rowContent struct {
+	begun   time.Time
 	mu      sync.Mutex
 	version int64
 	// compacted is the version up to which the history is gone.
@@ -29,11 +30,14 @@
 	changed   chan struct{}
 }
 
+// storeAge is how long a new store has been up.
+const storeAge = 1 * time.Hour
+
 // NewRows returns the first view of an empty store.
 func NewRows(seed uint64) *Rows {
 	return &Rows{
 		Injector: NewInjector("store", seed),
-		content:  &rowContent{rows: map[platform.RowKey]platform.StoredRow{}, changed: make(chan struct{})},
+		content:  &rowContent{begun: time.Now().Add(-storeAge), rows: map[platform.RowKey]platform.StoredRow{}, changed: make(chan struct{})},
 	}
 }
 
@@ -114,7 +118,7 @@
 func (c *rowContent) list(q platform.Range) platform.Page {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	page := platform.Page{Version: c.version}
+	page := platform.Page{Version: c.version, Now: time.Since(c.begun)}
 	for _, r := range c.rows {
 		if r.Table == q.Table && r.Part == q.Part && r.Key >= q.From && !r.Deleted {
 			page.Rows = append(page.Rows, r)
@@ -133,7 +137,7 @@
 	if after < c.compacted {
 		return platform.Page{}, &platform.CompactedError{Table: table, After: after}
 	}
-	page := platform.Page{Version: c.version}
+	page := platform.Page{Version: c.version, Now: time.Since(c.begun)}
 	for _, r := range c.rows {
 		if r.Table == table && r.Version > after {
 			page.Rows = append(page.Rows, r)
--- a/scheduler/platform/store.go
+++ b/scheduler/platform/store.go
@@ -71,6 +71,8 @@
 	More bool
 	// Version is the number of the newest transaction of the store.
 	Version int64
+	// Now is the store's steady clock, which all its clients share, or 0.
+	Now time.Duration
 }
 
 // MaxBatch is the largest number of guards, writes and removals of a batch.
