Damaged input and faults of the program no longer stop a planner or an instance

Looked for after reports of operators of similar systems: one malformed message or unexpected error took a whole process down.

Found, each shown by a test that fails without the change: - One damaged record of a job kept every instance from taking the office. The job is now left out, and nothing is said about it; a record of a later version still makes the planner leave the office to others. TestDamagedRecords. - A record above 64 KB, which the store refuses, would have been written again and again: a job of 4,096 tasks with checkpoints, or many occurrences. The tasks of all occurrences are bounded by 4,096, processes are named once a job, and checkpoints are dropped first. TestRecordsFitTheStore. - Learned speeds of more than about 1,400 workers were not stored at all; now those that fit are. - A decision that panics ended the process, and its successors. It is logged and counted, leases are still renewed. TestDecisionThatPanics. - A call between instances whose handler panics fails the call only. TestCallErrors. - Negative positions of tasks in messages of other instances.

A paused process: an instance counts the time of a suspension into the age of its configuration (TestAgeIncludesSuspension), and a planner without a confirmed term sends no stops either. A hand-over with both planners alive: TestTwoPlannersAtOnce passed as it was.

--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -17,6 +17,7 @@
 	"daisylug.example/scheduler/member"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/relay"
+	"daisylug.example/scheduler/uptime"
 )
 
 // Snapshot is a configuration as the platform's adapter decoded it.
@@ -71,7 +72,7 @@
 	incarnation uint64
 	snapshot    atomic.Pointer[Snapshot]
 	// confirmed is when the configuration was last known to be the newest.
-	confirmed atomic.Pointer[time.Time]
+	confirmed atomic.Pointer[uptime.Stamp]
 	seeds     atomic.Pointer[[]string]
 	planner   atomic.Pointer[control.Planner]
 	router    *relay.Router
--- a/daisylugd/entry/follow.go
+++ b/daisylugd/entry/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisylug.example/scheduler/control"
+	"daisylug.example/scheduler/uptime"
 )
 
 const (
@@ -42,7 +43,8 @@
 			// The store looked until the end of the wait.
 			confirmed = begun.Add(min(wait, time.Since(begun)))
 		}
-		e.confirmed.Store(&confirmed)
+		stamp := uptime.At(confirmed)
+		e.confirmed.Store(&stamp)
 	}
 	return ctx.Err()
 }
@@ -89,10 +91,11 @@
 }
 
 // ConfirmedAge returns the time since the configuration was last known to be
-// the newest, or 0 if there is none.
+// the newest, time in which the machine was suspended included, or 0 if there
+// is none.
 func (e *Entry) ConfirmedAge() time.Duration {
 	if at := e.confirmed.Load(); at != nil {
-		return time.Since(*at)
+		return at.Age()
 	}
 	return 0
 }
--- a/scheduler/batch/job.go
+++ b/scheduler/batch/job.go
@@ -120,6 +120,9 @@
 	maxSteps   = 64
 	maxTasks   = 4096
 	maxPayload = 4000
+	// maxRuns bounds the tasks of all occurrences: their progress is one row of
+	// the store, which holds 64 KB, and is kept in memory.
+	maxRuns = 4096
 )
 
 // InvalidError reports a job that does not make sense.
@@ -150,6 +153,9 @@
 	if tasks > maxTasks {
 		return &InvalidError{"steps", fmt.Sprintf("have more than %d tasks", maxTasks)}
 	}
+	if j.Rounds() > maxRuns/tasks {
+		return &InvalidError{"occurrences", fmt.Sprintf("have more than %d tasks", maxRuns)}
+	}
 	return nil
 }
 
--- a/scheduler/batch/progress.go
+++ b/scheduler/batch/progress.go
@@ -91,7 +91,7 @@
 // Step returns the progress of a step of an occurrence, or nil.
 func (p *Progress) Step(j *Job, occurrence, step int) *StepProgress {
 	i := occurrence*len(j.Steps) + step
-	if step >= len(j.Steps) || i >= len(p.Steps) {
+	if occurrence < 0 || step < 0 || step >= len(j.Steps) || i >= len(p.Steps) {
 		return nil
 	}
 	return &p.Steps[i]
@@ -100,7 +100,7 @@
 // Task returns a task, or nil if the job has no such task.
 func (p *Progress) Task(j *Job, id TaskID) *Task {
 	s := p.Step(j, id.Occurrence, id.Step)
-	if s == nil || id.Index >= len(s.Tasks) {
+	if s == nil || id.Index < 0 || id.Index >= len(s.Tasks) {
 		return nil
 	}
 	return &s.Tasks[id.Index]
--- a/scheduler/control/columns.go
+++ b/scheduler/control/columns.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/schema"
 )
@@ -29,17 +31,27 @@
 	if !p.Ended.IsZero() {
 		r.Ended = p.Ended.UnixMilli()
 	}
+	at := map[process]int32{}
 	for i := range p.Steps {
-		r.Steps[i] = encodeTasks(p.Steps[i].Tasks)
+		r.Steps[i] = encodeTasks(p.Steps[i].Tasks, r, at)
+	}
+	if proto.Size(r) > progressBytes {
+		// The work is done anew where a planner is replaced; a row that the store
+		// does not take would keep all others from being stored.
+		for _, s := range r.Steps {
+			s.Checkpoints = nil
+		}
 	}
 	return r
 }
 
+// progressBytes bounds the record; the store takes rows of 64 KB.
+const progressBytes = 60 << 10
+
 // encodeTasks writes the columns of a step. Of a task that is done only that is
 // kept.
-func encodeTasks(tasks []batch.Task) *schema.StepProgress {
+func encodeTasks(tasks []batch.Task, r *schema.BatchProgress, at map[process]int32) *schema.StepProgress {
 	s := &schema.StepProgress{}
-	at := map[process]int32{}
 	states, runs, places := make([]int32, len(tasks)), make([]int32, len(tasks)), make([]int32, len(tasks))
 	failures, failed := make([]int32, len(tasks)), make([]int32, len(tasks))
 	checkpoints := make([]string, len(tasks))
@@ -52,7 +64,7 @@
 		runs[i], failures[i], failed[i] = int32(t.Run), int32(t.Failures), int32(t.FailedRun)
 		checkpoints[i] = t.Checkpoint
 		if t.State == batch.TaskPlaced {
-			places[i] = place(s, at, t)
+			places[i] = place(r, at, t)
 		}
 	}
 	s.States, s.Runs, s.Places = column(states), column(runs), column(places)
@@ -67,12 +79,12 @@
 }
 
 // place returns the position of the process that has a task.
-func place(s *schema.StepProgress, at map[process]int32, t *batch.Task) int32 {
+func place(r *schema.BatchProgress, at map[process]int32, t *batch.Task) int32 {
 	key := process{t.Worker, t.Life}
 	n, ok := at[key]
 	if !ok {
-		s.Processes = append(s.Processes, &schema.WorkerProcess{Worker: t.Worker, Life: t.Life})
-		n = int32(len(s.Processes))
+		r.Processes = append(r.Processes, &schema.WorkerProcess{Worker: t.Worker, Life: t.Life})
+		n = int32(len(r.Processes))
 		at[key] = n
 	}
 	return n
@@ -102,7 +114,7 @@
 		if i >= len(p.Steps) {
 			break
 		}
-		if err := decodeTasks(p.Steps[i].Tasks, s); err != nil {
+		if err := decodeTasks(p.Steps[i].Tasks, s, r.GetProcesses()); err != nil {
 			return nil, err
 		}
 	}
@@ -110,7 +122,7 @@
 	return p, nil
 }
 
-func decodeTasks(tasks []batch.Task, s *schema.StepProgress) error {
+func decodeTasks(tasks []batch.Task, s *schema.StepProgress, processes []*schema.WorkerProcess) error {
 	for t, k := range s.GetTasks() {
 		if t >= len(tasks) {
 			break
@@ -147,12 +159,11 @@
 		tasks[i].FailedRun = int(v)
 	}
 	for i, v := range s.GetPlaces() {
-		if v < 0 || int(v) > len(s.GetProcesses()) {
+		if v < 0 || int(v) > len(processes) {
 			return &SizeError{"places"}
 		}
 		if v > 0 {
-			p := s.GetProcesses()[v-1]
-			tasks[i].Worker, tasks[i].Life = p.GetWorker(), p.GetLife()
+			tasks[i].Worker, tasks[i].Life = processes[v-1].GetWorker(), processes[v-1].GetLife()
 		}
 	}
 	return nil
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -23,6 +25,29 @@
 	runs    [][]*placement
 }
 
+// decideSafely decides, or nothing if that fails by a fault of this program:
+// leases are still renewed, and what runs goes on. The caller holds the lock.
+func (p *Planner) decideSafely(now time.Time) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			p.meters.faults.Inc()
+			if p.meters.faults.Get() == 1 || now.Sub(p.faulted) > faultInterval {
+				p.faulted = now
+				p.Log.Error(&FaultError{fmt.Sprint(cause)}, "no decision", "stack", string(debug.Stack()))
+			}
+		}
+	}()
+	p.decide(now)
+}
+
+// faultInterval is the time between two lines about decisions that fail.
+const faultInterval = 5 * time.Second
+
+// FaultError reports a panic of a decision.
+type FaultError struct{ Cause string }
+
+func (e *FaultError) Error() string { return "decision failed: " + e.Cause }
+
 // decide places waiting tasks and stops runs for guaranteed jobs. The caller
 // holds the lock.
 func (p *Planner) decide(now time.Time) {
--- a/scheduler/control/experience.go
+++ b/scheduler/control/experience.go
@@ -96,6 +96,12 @@
 		}
 		m.Times = append(m.Times, t)
 	}
+	if size := proto.Size(m); size > experienceBytes {
+		// Each worker takes about as much; those that do not fit are learned anew.
+		keep := len(m.Speeds) * experienceBytes / size * 9 / 10
+		p.Log.V(1).Info("experience is cut", "bytes", size, "workers", len(m.Speeds), "kept", keep)
+		m.Speeds = m.Speeds[:keep]
+	}
 	value, err := proto.Marshal(m)
 	if err != nil || len(value) > experienceBytes {
 		p.Log.Error(err, "experience is not stored", "bytes", len(value), "limit", experienceBytes)
--- a/scheduler/control/meters.go
+++ b/scheduler/control/meters.go
@@ -7,6 +7,8 @@
 	set    *metrics.Set
 	commit *metrics.Histogram
 	decide *metrics.Histogram
+	// faults counts the decisions that failed by a fault of the program.
+	faults *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -14,6 +16,7 @@
 		set:    set,
 		commit: set.GetOrCreateHistogram("daisylug_planner_commit_seconds"),
 		decide: set.GetOrCreateHistogram("daisylug_planner_decide_seconds"),
+		faults: set.GetOrCreateCounter("daisylug_planner_faults_total"),
 	}
 }
 
--- a/scheduler/control/order.go
+++ b/scheduler/control/order.go
@@ -220,8 +220,15 @@
 			p.mu.Unlock()
 			return
 		}
-		runner := w.runner
+		runner, expired := w.runner, p.Term.Age() > MandateTime
 		p.mu.Unlock()
+		if expired {
+			// Another planner may be in office.
+			if !p.pause(orderTries) {
+				return
+			}
+			continue
+		}
 		err := p.sendStop(runner, platform.Run{Task: pl.id, Number: pl.run})
 		if err == nil {
 			p.mu.Lock()
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -89,12 +89,14 @@
 	group *errgroup.Group
 	ctx   context.Context
 
-	mu      sync.Mutex
-	jobs    map[string]*job
-	live    map[string]*job
-	workers map[string]*worker
-	centres map[string]*centre
-	dirty   []*job
+	mu   sync.Mutex
+	jobs map[string]*job
+	live map[string]*job
+	// unreadable are the jobs whose records are damaged.
+	unreadable map[string]bool
+	workers    map[string]*worker
+	centres    map[string]*centre
+	dirty      []*job
 	// committing is when the transaction in progress began, or zero.
 	committing time.Time
 	// lost is set when the term is over, resigning when it should end.
@@ -107,6 +109,8 @@
 	demand     demand
 	// searched is when obsolete jobs were last searched for.
 	searched time.Time
+	// faulted is when a failed decision was last logged.
+	faulted time.Time
 	// resumed is when the process went on after a pause.
 	resumed time.Time
 	// listed is when the registry was last read.
@@ -164,6 +168,7 @@
 		begun:        time.Now(),
 		jobs:         map[string]*job{},
 		live:         map[string]*job{},
+		unreadable:   map[string]bool{},
 		workers:      map[string]*worker{},
 		centres:      map[string]*centre{},
 		estimator:    queue.NewEstimator(),
@@ -251,7 +256,7 @@
 			p.mu.Unlock()
 			return p.Term.Resign(ctx)
 		}
-		p.decide(time.Now())
+		p.decideSafely(time.Now())
 		writes, after := p.collect()
 		removes, forget := p.obsolete(time.Now(), term.MaxChanges-len(writes))
 		if len(writes)+len(removes) == 0 && !renewing {
--- a/scheduler/control/recover.go
+++ b/scheduler/control/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -36,7 +37,8 @@
 	err := p.each(ctx, progressTable, func(r platform.StoredRow) error {
 		m := &schema.BatchProgress{}
 		if err := proto.Unmarshal(r.Value, m); err != nil {
-			return &RecordError{r.RowKey, err}
+			p.setAside(r.RowKey, err)
+			return nil
 		}
 		progress[r.Key] = m
 		return nil
@@ -45,13 +47,23 @@
 		return err
 	}
 	err = p.each(ctx, jobTable, func(r platform.StoredRow) error {
+		if p.unreadable[r.Key] {
+			return nil
+		}
 		m := &schema.Batch{}
 		if err := proto.Unmarshal(r.Value, m); err != nil {
-			return &RecordError{r.RowKey, err}
+			p.setAside(r.RowKey, err)
+			return nil
 		}
-		if err := p.restore(m, progress[r.Key]); err != nil {
+		err := p.restore(m, progress[r.Key])
+		var format *FormatError
+		if errors.As(err, &format) {
+			// A planner of the version that wrote it must take the office.
 			return &RecordError{progressKey(r.Key), err}
 		}
+		if err != nil {
+			p.setAside(progressKey(r.Key), err)
+		}
 		return nil
 	})
 	p.Log.Info("jobs loaded", "jobs", len(p.jobs), "live", len(p.live), "error", err)
@@ -61,6 +73,13 @@
 	return p.loadExperience(ctx)
 }
 
+// setAside leaves out a job whose record is damaged, so that the others are
+// served. Nothing is said about it, since it may have run.
+func (p *Planner) setAside(key platform.RowKey, cause error) {
+	p.Log.Error(&RecordError{key, cause}, "job is left out", "job", key.Key)
+	p.unreadable[key.Key] = true
+}
+
 // each calls f for all rows of a table.
 func (p *Planner) each(ctx context.Context, table string, f func(platform.StoredRow) error) error {
 	from := ""
@@ -86,6 +105,9 @@
 // restore takes over a stored job.
 func (p *Planner) restore(m *schema.Batch, record *schema.BatchProgress) error {
 	spec, q, guaranteed := DecodeJob(m)
+	if err := spec.Validate(); err != nil {
+		return err
+	}
 	// Without a record of its progress the job has not started.
 	progress, err := decodeProgress(spec, record)
 	if err != nil {
--- a/scheduler/control/submit.go
+++ b/scheduler/control/submit.go
@@ -61,6 +61,10 @@
 		return Verdict{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
 	p.mu.Lock()
+	if p.unreadable[spec.ID] {
+		p.mu.Unlock()
+		return Verdict{Outcome: OutcomeInDoubt, Reason: "the record of the job is damaged"}
+	}
 	j := p.jobs[spec.ID]
 	if j == nil {
 		if v := p.refuse(spec, q); v.Outcome != 0 {
@@ -152,6 +156,9 @@
 	if j := p.jobs[id]; j != nil && j.spec.Queue == queue {
 		return j, Verdict{}
 	}
+	if p.unreadable[id] {
+		return nil, Verdict{Outcome: OutcomeUnavailable, Reason: "the record of the job is damaged"}
+	}
 	if p.lost || p.Term.Age() > term.Lease {
 		return nil, Verdict{Outcome: OutcomeUnavailable, Reason: "another planner may know the job"}
 	}
--- a/scheduler/member/call.go
+++ b/scheduler/member/call.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -194,7 +196,19 @@
 	g.mu.Lock()
 	from := l.peer.inst
 	g.mu.Unlock()
-	m, err := h.(Handler)(ctx, from, r.GetBody())
+	return g.handle(ctx, h.(Handler), from, r)
+}
+
+// handle runs a handler. One that panics fails the call, not the process.
+func (g *Group) handle(ctx context.Context, h Handler, from platform.Instance, r *schema.CallRequest) (answer *schema.CallResponse) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err := &PanicError{Method: r.GetMethod(), Cause: fmt.Sprint(cause)}
+			g.log.Error(err, "call failed", "instance", from.Name, "stack", string(debug.Stack()))
+			answer = fail(err)
+		}
+	}()
+	m, err := h(ctx, from, r.GetBody())
 	return respond(m, err)
 }
 
--- a/scheduler/member/call_test.go
+++ b/scheduler/member/call_test.go
@@ -37,6 +37,10 @@
 		g.Handle("refuse", func(context.Context, platform.Instance, []byte) (proto.Message, error) {
 			return nil, &RefusedError{Kind: "owner", Message: "not mine"}
 		})
+		g.Handle("panic", func(context.Context, platform.Instance, []byte) (proto.Message, error) {
+			var none []int
+			return nil, kindError{errors.New(string(rune(none[3])))}
+		})
 		g.Handle("slow", func(ctx context.Context, _ platform.Instance, _ []byte) (proto.Message, error) {
 			ran.Add(1)
 			<-ctx.Done()
@@ -49,6 +53,9 @@
 		}
 		small, large := &schema.Value{Key: "k"}, &schema.Value{Content: make([]byte, maxMessage)}
 		So(call("i1", "echo", small, time.Second), ShouldBeNil)
+		var broken *RemoteError
+		So(errors.As(call("i1", "panic", small, time.Second), &broken), ShouldBeTrue)
+		So(call("i1", "echo", small, time.Second), ShouldBeNil)
 
 		var notSent *NotSentError
 		for _, err := range []error{
--- a/scheduler/member/errors.go
+++ b/scheduler/member/errors.go
@@ -78,3 +78,11 @@
 func (e *HandshakeError) Error() string {
 	return fmt.Sprintf("handshake with %s failed: %s", e.Address, e.Reason)
 }
+
+// PanicError reports a handler that panicked.
+type PanicError struct {
+	Method string
+	Cause  string
+}
+
+func (e *PanicError) Error() string { return fmt.Sprintf("%s panicked: %s", e.Method, e.Cause) }
--- a/scheduler/uptime/uptime.go
+++ b/scheduler/uptime/uptime.go
@@ -18,3 +18,17 @@
 	}
 	return time.Duration(now.Nano())
 }
+
+// Stamp is a moment whose age includes time in which the machine was suspended.
+type Stamp struct {
+	steady time.Time
+	boot   time.Duration
+}
+
+// At returns the stamp of a moment since which the machine was not suspended.
+func At(steady time.Time) Stamp {
+	return Stamp{steady: steady, boot: Now() - time.Since(steady)}
+}
+
+// Age returns the time since the moment.
+func (s Stamp) Age() time.Duration { return max(time.Since(s.steady), Now()-s.boot) }
