assignment: prepare what workers are compared by; decide less often when it takes long

Cause: a decision costs groups times workers. Each comparison of two workers looked up their racks by name, and each pool built a map of racks.

Change: racks have positions, the values that workers are compared by are computed once a group, and space is reused. The planner lets three times the duration of a decision pass before the next one, so that calls and leases find time when there is much to decide.

It still grows faster than the deployment: groups and workers grow together.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -3,6 +3,7 @@
 package assignment
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -139,6 +140,7 @@
 	for i := range v.Workers {
 		d.free[i] = v.Workers[i].Free
 	}
+	d.numberRacks()
 	d.all = d.pool(func(*Worker) bool { return true })
 	d.reserve = d.reserved()
 	order := rank(v)
@@ -156,6 +158,12 @@
 	all pool
 	// reserve is the number of accelerators that less urgent work leaves free.
 	reserve int64
+	// rackAt is the position of each rack, rack that of each worker's rack.
+	rackAt map[string]int
+	rack   []int
+	// sums and found are space for fill.
+	sums  []int64
+	found []candidate
 	// victims lists the runs that may be stopped on each worker.
 	victims map[victim]map[int][]int
 	// saved counts the blocked groups for which room is kept.
@@ -163,32 +171,49 @@
 	result Decision
 }
 
+// numberRacks gives each rack a position, in the order of their names.
+func (d *decider) numberRacks() {
+	d.rackAt = map[string]int{}
+	for i := range d.view.Workers {
+		d.rackAt[d.view.Workers[i].Rack] = 0
+	}
+	for i, name := range slices.Sorted(maps.Keys(d.rackAt)) {
+		d.rackAt[name] = i
+	}
+	d.rack = make([]int, len(d.view.Workers))
+	for i := range d.view.Workers {
+		d.rack[i] = d.rackAt[d.view.Workers[i].Rack]
+	}
+	d.sums = make([]int64, len(d.rackAt))
+}
+
 // pool is a set of open workers, by position in the view.
 type pool struct {
 	workers []int
-	// racks lists the workers of each rack, names in order.
-	racks map[string][]int
-	names []string
+	// racks lists the workers of each rack, by position of the rack.
+	racks [][]int
 }
 
 // pool returns the open workers that pass a test.
 func (d *decider) pool(test func(*Worker) bool) pool {
-	p := pool{racks: map[string][]int{}}
+	p := pool{racks: make([][]int, len(d.rackAt)), workers: make([]int, 0, len(d.view.Workers))}
 	for i := range d.view.Workers {
-		w := &d.view.Workers[i]
-		if !w.Open || !test(w) {
-			continue
-		}
-		if p.racks[w.Rack] == nil {
-			p.names = append(p.names, w.Rack)
+		if w := &d.view.Workers[i]; w.Open && test(w) {
+			p.workers = append(p.workers, i)
+			p.racks[d.rack[i]] = append(p.racks[d.rack[i]], i)
 		}
-		p.racks[w.Rack] = append(p.racks[w.Rack], i)
-		p.workers = append(p.workers, i)
 	}
-	slices.Sort(p.names)
 	return p
 }
 
+// near returns the workers of a pool on a rack.
+func (d *decider) near(in pool, rack string) []int {
+	if n, ok := d.rackAt[rack]; ok {
+		return in.racks[n]
+	}
+	return nil
+}
+
 // savedGroups is the number of blocked gangs for which room is kept at a time;
 // more would leave too much of it idle.
 const savedGroups = 2
@@ -315,7 +340,7 @@
 // find returns a worker of the pool for each task of a gang, for as many tasks
 // as fit of other groups, or nil.
 func (d *decider) find(g *Group, from pool) []int {
-	if near := from.racks[g.Rack]; g.Rack != "" && len(near) > 0 && d.holds(g, near) {
+	if near := d.near(from, g.Rack); g.Rack != "" && len(near) > 0 && d.holds(g, near) {
 		if seats := d.fill(g, near); seats != nil || !d.overdue(g) {
 			return seats
 		}
@@ -326,8 +351,7 @@
 	var best []int
 	var least rackScore
 	possible := false
-	for _, name := range from.names {
-		workers := from.racks[name]
+	for _, workers := range from.racks {
 		possible = possible || d.holds(g, workers)
 		seats := d.fill(g, workers)
 		if seats == nil {
--- /dev/null
+++ b/scheduler/assignment/decide_bench_test.go
@@ -0,0 +1,45 @@
+package assignment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"daisylug.example/scheduler/batch"
+)
+
+// busy returns a view of workers that are two thirds full, in which a group
+// waits for every 20 workers.
+func busy(workers int) View {
+	r := rand.New(rand.NewPCG(1, 2))
+	v := View{Now: now, Workers: racks((workers + 7) / 8), Reserve: int64(workers) / 4}
+	for i := range v.Workers {
+		for n := range r.IntN(9) {
+			use(&v.Workers[i], 1)
+			v.Running = append(v.Running, Running{
+				Job: fmt.Sprint("run", i, n), Priority: r.IntN(3), Borrowed: r.IntN(2) == 0, Loss: r.Float64() * 100,
+				Room: []Room{{Worker: i, Need: batch.Resources{MilliCPU: 5000, MemoryMB: 11000, Accelerators: 1}}},
+			})
+		}
+	}
+	for i := range workers / 20 {
+		g := tasks(fmt.Sprint("job", i), 1+r.IntN(20), 1+r.Int64N(8))
+		if i%2 == 0 {
+			g = gangOf(fmt.Sprint("gang", i), 1+r.IntN(8), 1+r.Int64N(8))
+		}
+		g.Priority, g.Since, g.Reclaim = r.IntN(3), now, i%7 == 0
+		v.Groups = append(v.Groups, g)
+	}
+	return v
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, workers := range []int{48, 350, 1100, 3000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			v := busy(workers)
+			for b.Loop() {
+				Decide(v)
+			}
+		})
+	}
+}
--- a/scheduler/assignment/hurry.go
+++ b/scheduler/assignment/hurry.go
@@ -50,11 +50,11 @@
 func (d *decider) holdsCompact(g *Group, in pool) bool {
 	switch {
 	case g.Rack != "":
-		return d.holds(g, in.racks[g.Rack])
+		return d.holds(g, d.near(in, g.Rack))
 	case !g.Adjacent || !g.Gang:
 		return d.holds(g, in.workers)
 	}
-	return slices.ContainsFunc(in.names, func(name string) bool { return d.holds(g, in.racks[name]) })
+	return slices.ContainsFunc(in.racks, func(workers []int) bool { return d.holds(g, workers) })
 }
 
 // timely reports whether the group would meet its objective on a worker if it
--- a/scheduler/assignment/reclaim.go
+++ b/scheduler/assignment/reclaim.go
@@ -79,14 +79,14 @@
 // one rack for adjacent tasks, or any worker where neither matters.
 func (d *decider) compactPlan(g *Group, in pool, v victim) *plan {
 	if g.Rack != "" {
-		return d.evict(g, in.racks[g.Rack], v)
+		return d.evict(g, d.near(in, g.Rack), v)
 	}
 	if !g.Adjacent || !g.Gang {
 		return d.evict(g, in.workers, v)
 	}
 	var best *plan
-	for _, name := range in.names {
-		best = cheaper(best, d.evict(g, in.racks[name], v))
+	for _, workers := range in.racks {
+		best = cheaper(best, d.evict(g, workers, v))
 	}
 	return best
 }
@@ -243,8 +243,8 @@
 		}
 	}
 	if g.Adjacent {
-		for _, name := range d.all.names {
-			consider(d.all.racks[name])
+		for _, workers := range d.all.racks {
+			consider(workers)
 		}
 	} else {
 		consider(d.all.workers)
--- a/scheduler/assignment/seat.go
+++ b/scheduler/assignment/seat.go
@@ -111,47 +111,79 @@
 	return !w.Known && !g.Gang && g.Priority > 0 && len(g.Indexes) > 1
 }
 
-// rackFree returns the free accelerators of the workers by rack.
-func (d *decider) rackFree(workers []int) map[string]int64 {
-	free := map[string]int64{}
+// sumRacks sets the sums to the free accelerators of the workers on each rack.
+func (d *decider) sumRacks(workers []int) {
 	for _, w := range workers {
-		free[d.view.Workers[w].Rack] += d.free[w].Accelerators
+		d.sums[d.rack[w]] = 0
 	}
-	return free
+	for _, w := range workers {
+		d.sums[d.rack[w]] += d.free[w].Accelerators
+	}
+}
+
+// candidate is a worker that can take tasks of a group, with what it is compared
+// by.
+type candidate struct {
+	worker, seats int
+	// known is 0 if the group would teach the worker's speed, else 1.
+	known        int
+	distance     int
+	rackFree     int64
+	accelerators int64
+	milliCPU     int64
+}
+
+func (c *candidate) compare(o *candidate) int {
+	switch {
+	case c.known != o.known:
+		return c.known - o.known
+	case c.distance != o.distance:
+		return c.distance - o.distance
+	case c.rackFree != o.rackFree:
+		return cmp.Compare(c.rackFree, o.rackFree)
+	case c.accelerators != o.accelerators:
+		return cmp.Compare(c.accelerators, o.accelerators)
+	case c.milliCPU != o.milliCPU:
+		return cmp.Compare(c.milliCPU, o.milliCPU)
+	}
+	return c.worker - o.worker
 }
 
 // fill takes the workers of the best class of speed that are left with the
 // least room, on the racks with the least room, so that whole racks stay free
 // for adjacent gangs.
 func (d *decider) fill(g *Group, workers []int) []int {
-	type candidate struct{ worker, seats int }
-	var found []candidate
+	found := d.found[:0]
 	total := 0
 	for _, i := range workers {
 		if n := d.seats(g, i, d.free[i]); n > 0 {
-			found = append(found, candidate{i, n})
+			found = append(found, candidate{worker: i, seats: n})
 			total += n
 		}
 	}
+	d.found = found
 	if total == 0 || g.Gang && total < len(g.Indexes) {
 		return nil
 	}
-	rackFree := d.rackFree(workers)
-	slices.SortStableFunc(found, func(a, b candidate) int {
-		x, y := &d.view.Workers[a.worker], &d.view.Workers[b.worker]
-		return cmp.Or(
-			-compareBool(d.teaches(g, x), d.teaches(g, y)),
-			cmp.Compare(d.distance(g, x.speedClass()), d.distance(g, y.speedClass())),
-			cmp.Compare(rackFree[x.Rack], rackFree[y.Rack]),
-			cmp.Compare(d.free[a.worker].Accelerators, d.free[b.worker].Accelerators),
-			cmp.Compare(d.free[a.worker].MilliCPU, d.free[b.worker].MilliCPU),
-		)
-	})
+	d.sumRacks(workers)
+	for i := range found {
+		c := &found[i]
+		w := &d.view.Workers[c.worker]
+		if !d.teaches(g, w) {
+			c.known = 1
+		}
+		c.distance, c.rackFree = d.distance(g, w.speedClass()), d.sums[d.rack[c.worker]]
+		c.accelerators, c.milliCPU = d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
+	}
+	slices.SortFunc(found, func(a, b candidate) int { return a.compare(&b) })
 	seats := make([]int, 0, len(g.Indexes))
 	for _, c := range found {
 		for range min(c.seats, len(g.Indexes)-len(seats)) {
 			seats = append(seats, c.worker)
 		}
+		if len(seats) == len(g.Indexes) {
+			break
+		}
 	}
 	return seats
 }
--- a/scheduler/control/decide.go
+++ b/scheduler/control/decide.go
@@ -28,7 +28,13 @@
 // decideSafely decides, or nothing if that fails by a fault of this program:
 // leases are still renewed, and what runs goes on. The caller holds the lock.
 func (p *Planner) decideSafely(now time.Time) {
+	if rest := p.decided.Add(decideGap * p.deciding).Sub(now); rest > 0 {
+		time.AfterFunc(rest, p.wake)
+		return
+	}
 	defer func() {
+		p.decided = time.Now()
+		p.deciding = p.decided.Sub(now)
 		if cause := recover(); cause != nil {
 			p.meters.faults.Inc()
 			if p.meters.faults.Get() == 1 || now.Sub(p.faulted) > faultInterval {
@@ -40,6 +46,11 @@
 	p.decide(now)
 }
 
+// decideGap is how many times the duration of a decision passes before the next
+// one, so that decisions leave time for calls and leases when there is much to
+// decide.
+const decideGap = 3
+
 // faultInterval is the time between two lines about decisions that fail.
 const faultInterval = 5 * time.Second
 
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -109,6 +109,9 @@
 	demand     demand
 	// searched is when obsolete jobs were last searched for.
 	searched time.Time
+	// decided is when the latest decision ended, deciding how long it took.
+	decided  time.Time
+	deciding time.Duration
 	// faulted is when a failed decision was last logged.
 	faulted time.Time
 	// resumed is when the process went on after a pause.
