--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 ONE_PROCESSOR := ^(TestBounds|TestAllowanceLastsTheOutage|TestChargesCountOnce|TestDrawsDoNotOverlap|TestFirstDrawLeavesAShare|TestStartWithoutTable)$$
 TOOL    := GOWORK=off go tool -modfile=$(CURDIR)
 
-.PHONY: all build test race soak lint format generate demo processes bench capacity fuzz clean
+# Deployments of the regression runs, by the names of their files.
+REGRESSION := kerhoat-cidre kerhoat-cidre-grown kivi-daisylug-grown kofpo-frostsched-grown kivi-daisylug-large
+
+.PHONY: all build test race soak lint format generate demo processes bench capacity fuzz clean regression
 
 all: build
 
@@ -29,6 +32,14 @@
 soak:
 	cd platform && DAISYLUG_SOAK_SEEDS=$(or $(SEEDS),10) DAISYLUG_SOAK_FIRST=$(or $(FIRST),1000) go test -count=1 -run TestSoak -v -timeout 60m ./adapter
 
+# Scores the deployments of the regression runs with the users' bench BENCH;
+# SITES is the folder that holds their files.
+regression:
+	@for n in $(REGRESSION); do \
+		s=$$(find $(SITES) -name $$n.toml) && test -n "$$s" || { echo "no file for $$n"; exit 1; }; \
+		$(BENCH) score $$s --jobs $(or $(JOBS),2) --why "$(or $(WHY),regression)" || exit 1; \
+	done
+
 # Fails if the formatter or the linter has something to say.
 lint:
 	@for m in $(MODULES); do (cd $$m && $(TOOL)/tools/lint/go.mod golangci-lint run --allow-parallel-runners --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
