--- a/scheduler/relay/record_test.go
+++ b/scheduler/relay/record_test.go
@@ -41,8 +41,8 @@
 func TestStateIsKept(t *testing.T) {
 	want := platform.RunnerState{
 		Clock: 5 * time.Second, Life: 9,
-		Running: []platform.RunningTask{{Run: run("j", 1), Checkpoint: "c", Progress: 0.5, Tail: 20 * time.Millisecond}},
-		Ended:   []platform.EndedTask{{Sequence: 4, Run: run("j", 2), How: platform.EndFailed, Checkpoint: "d"}},
+		Running: []platform.RunningTask{{Run: run(1), Checkpoint: "c", Progress: 0.5, Tail: 20 * time.Millisecond}},
+		Ended:   []platform.EndedTask{{Sequence: 4, Run: run(2), How: platform.EndFailed, Checkpoint: "d"}},
 	}
 	a := &schema.RelayAnswer{Clock: 5000}
 	encodeState(a, want)
@@ -54,7 +54,7 @@
 // FuzzExchange hands a desk messages of other versions, or damaged ones.
 func FuzzExchange(f *testing.F) {
 	good, err := proto.Marshal(&schema.RelayRequest{Session: 1, Payloads: []string{"1s"}, Calls: []*schema.RelayCall{
-		{Id: 1, Worker: "w0", Order: schema.RelayOrder_RELAY_ORDER_START, Run: encodeRun(run("j", 0)), Payload: 1, Budget: 50},
+		{Id: 1, Worker: "w0", Order: schema.RelayOrder_RELAY_ORDER_START, Run: encodeRun(run(0)), Payload: 1, Budget: 50},
 		{Id: 2, Worker: "w0", Order: schema.RelayOrder_RELAY_ORDER_HOLD, Budget: 50},
 		{Id: 3, Worker: "none", Order: 17, Payload: -5, Budget: 50},
 	}})
@@ -63,7 +63,7 @@
 	}
 	f.Add(good)
 	f.Add(good[:len(good)/2])
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		m := &schema.RelayRequest{}
 		if proto.Unmarshal(data, m) != nil {
 			return
@@ -72,7 +72,7 @@
 		d := NewDesk(anyWorker{w["w0"]}, klog.Background())
 		for _, c := range m.GetCalls() {
 			c.Budget = min(c.GetBudget(), 5)
-			decodeFailure(d.serve(c, "", uptime.Now()))
+			_ = decodeFailure(d.serve(c, "", uptime.Now()))
 		}
 	})
 }
--- a/scheduler/relay/relay_test.go
+++ b/scheduler/relay/relay_test.go
@@ -112,8 +112,8 @@
 	return w
 }
 
-func run(job string, index int) platform.Run {
-	return platform.Run{Task: batch.TaskID{Job: job, Index: index}, Number: 1}
+func run(index int) platform.Run {
+	return platform.Run{Task: batch.TaskID{Job: "j", Index: index}, Number: 1}
 }
 
 func start(r platform.Run, payload string) platform.StartOrder {
@@ -130,23 +130,23 @@
 		r := NewRouter(g, workers{}, 7, always, klog.Background()).Runner(w["w0"].Info())
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		if at, err := r.Start(ctx, start(run("j", 0), "300ms")); err != nil || at <= 0 {
+		if at, err := r.Start(ctx, start(run(0), "300ms")); err != nil || at <= 0 {
 			t.Fatalf("start: clock %v, error %v", at, err)
 		}
 		began := time.Now()
 		state, err := r.Hold(ctx, platform.HoldOrder{Generation: 1, Lease: time.Hour, Wait: time.Second})
-		if err != nil || len(state.Ended) != 1 || state.Ended[0].Run != run("j", 0) || state.Ended[0].How != platform.EndDone {
+		if err != nil || len(state.Ended) != 1 || state.Ended[0].Run != run(0) || state.Ended[0].How != platform.EndDone {
 			t.Errorf("look: %+v, error %v", state, err)
 		}
 		if took := time.Since(began); took > 500*time.Millisecond {
 			t.Errorf("the end is known after %v", took)
 		}
 		var old *platform.OldRunError
-		if _, err := r.Start(ctx, start(run("j", 0), "1s")); !errors.As(err, &old) || old.Clock <= 0 {
+		if _, err := r.Start(ctx, start(run(0), "1s")); !errors.As(err, &old) || old.Clock <= 0 {
 			t.Errorf("a start of a run that has ended: %v", err)
 		}
 		var fenced *platform.FencedError
-		if _, err := r.Stop(ctx, platform.StopOrder{Run: run("j", 1)}); !errors.As(err, &fenced) {
+		if _, err := r.Stop(ctx, platform.StopOrder{Run: run(1)}); !errors.As(err, &fenced) {
 			t.Errorf("an order of an earlier generation: %v", err)
 		}
 	})
@@ -165,7 +165,7 @@
 				group.Go(func() {
 					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 					defer cancel()
-					if _, err := router.Runner(worker.Info()).Start(ctx, start(run("j", n), "10s")); err != nil {
+					if _, err := router.Runner(worker.Info()).Start(ctx, start(run(n), "10s")); err != nil {
 						t.Error(err)
 					}
 				})
@@ -201,7 +201,7 @@
 				first := router.lane(w["w0"].Info()).instance
 				c.harm(g, first, true)
 				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
-				_, err := r.Start(ctx, start(run("j", 0), "10s"))
+				_, err := r.Start(ctx, start(run(0), "10s"))
 				cancel()
 				var unknown *platform.UnknownError
 				var unavailable *platform.UnavailableError
@@ -209,7 +209,7 @@
 					t.Errorf("first start: %v", err)
 				}
 				ctx, cancel = context.WithTimeout(t.Context(), 500*time.Millisecond)
-				if _, err := r.Start(ctx, start(run("j", 0), "10s")); err != nil {
+				if _, err := r.Start(ctx, start(run(0), "10s")); err != nil {
 					t.Errorf("second start: %v", err)
 				}
 				cancel()
@@ -249,7 +249,7 @@
 func TestPausedDesk(t *testing.T) {
 	w := newWorkers(1)
 	d := NewDesk(w, klog.Background())
-	c := &schema.RelayCall{Worker: "w0", Order: schema.RelayOrder_RELAY_ORDER_START, Run: encodeRun(run("j", 0)), Generation: 1, Budget: 400}
+	c := &schema.RelayCall{Worker: "w0", Order: schema.RelayOrder_RELAY_ORDER_START, Run: encodeRun(run(0)), Generation: 1, Budget: 400}
 	a := d.serve(c, "10s", -time.Hour)
 	var unavailable *platform.UnavailableError
 	if err := decodeFailure(a); !errors.As(err, &unavailable) || len(w["w0"].Starts()) != 0 {
