member: heartbeats that answer each other are spaced

Cause: a heartbeat may ask for an answer at once, and that one for another. Two instances that did not agree about an incarnation after hubs had changed answered each other without a pause. Which of the conditions keeps it going was not traced.

Change: 10 ms pass between two heartbeats of a session that are sent before their time.

--- a/scheduler/member/heartbeat.go
+++ b/scheduler/member/heartbeat.go
@@ -26,13 +26,19 @@
 	interval := l.peer.cadence().interval
 	next := time.NewTimer(0)
 	defer next.Stop()
+	var sent time.Time
 	for {
 		select {
 		case <-l.done:
 			return
 		case <-l.kick:
+			// Answers to each other's heartbeats must not become a storm.
+			if !l.rest(kickGap - time.Since(sent)) {
+				return
+			}
 		case <-next.C:
 		}
+		sent = time.Now()
 		next.Reset(interval)
 		_ = l.control.SetWriteDeadline(time.Now().Add(connectionWriteTimeout))
 		if err := writeFrame(l.control, g.compose(l)); err != nil {
--- a/scheduler/member/link.go
+++ b/scheduler/member/link.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// rest waits for a time, and reports whether the link is still open.
+func (l *link) rest(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-l.done:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // mute tells whether the link carries nothing in one of its directions.
 func (l *link) mute(now time.Time) bool {
 	c := l.peer.cadence()
--- a/scheduler/member/timing.go
+++ b/scheduler/member/timing.go
@@ -31,6 +31,9 @@
 	dialDelay      = 300 * time.Millisecond
 	dialRetryFirst = 200 * time.Millisecond
 	dialRetryLast  = 2 * time.Second
+	// kickGap is the shortest time between two heartbeats of a session that are
+	// sent before their time.
+	kickGap = 10 * time.Millisecond
 	// A pause of the own process longer than this is added to the time since
 	// peers were last heard from: the silence was its own.
 	pauseTolerance = 300 * time.Millisecond
