control, entry, adapter: evacuate a data centre on the operator's request

Cause: nothing read the request to evacuate a data centre.

Change: the source of the configuration also follows the requests, which are rows of the same table. Instances announce the set to each other in heartbeats, the highest version of the store wins. The planner asks for it at each decision and right before each start; relays ask right before they send one. A start that was decided, stored or reserved is withdrawn, one in doubt is stopped instead of repeated. Runs go on, or move if their caller gains at least a second. Guarantees that exceed the remaining workers are logged and counted. Workers that announce to be slow after their start count with that speed and keep their learned one. Before the first reading, and while it has not been confirmed for almost the time within which requests must be honoured, nothing starts.

--- a/daisylugd/entry/config.go
+++ b/daisylugd/entry/config.go
@@ -29,6 +29,7 @@
 			wait = 0
 		}
 		next, err := e.services.Source.Next(ctx, e.configVersion(), wait)
+		e.applyEvacuations(next.Evacuations)
 		if failing != (err != nil) && ctx.Err() == nil {
 			failing = err != nil
 			e.log.Info("availability of the configuration source changed", "available", !failing, "version", e.configVersion(), "error", err)
@@ -38,8 +39,8 @@
 			continue
 		}
 		confirmedAt := start
-		if next != nil {
-			e.applyConfig(next)
+		if next.Snapshot != nil {
+			e.applyConfig(next.Snapshot)
 		} else {
 			// The store has checked for changes until the end of the wait.
 			confirmedAt = start.Add(min(wait, time.Since(start)))
--- a/daisylugd/entry/config_test.go
+++ b/daisylugd/entry/config_test.go
@@ -20,9 +20,9 @@
 	from, to time.Time
 }
 
-func (o *outageSource) Next(ctx context.Context, version int64, wait time.Duration) (Snapshot, error) {
+func (o *outageSource) Next(ctx context.Context, version int64, wait time.Duration) (Update, error) {
 	if now := time.Now(); now.After(o.from) && now.Before(o.to) {
-		return nil, &platform.UnavailableError{Service: "store"}
+		return Update{}, &platform.UnavailableError{Service: "store"}
 	}
 	return o.staticSource.Next(ctx, version, wait)
 }
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/control"
+	"daisylug.example/scheduler/evacuation"
 	"daisylug.example/scheduler/member"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/relay"
@@ -25,11 +26,21 @@
 	Config() *control.Config
 }
 
-// Source reads the configuration.
+// Update is what a source has read.
+type Update struct {
+	// Snapshot is nil if there is no newer configuration.
+	Snapshot Snapshot
+	// Evacuations holds the data centres to evacuate.
+	Evacuations evacuation.Set
+}
+
+// Source reads the configuration and the evacuations.
 type Source interface {
-	// Next returns a configuration newer than the given version, or nil if there
-	// is none within the wait.
-	Next(ctx context.Context, version int64, wait time.Duration) (Snapshot, error)
+	// Next returns a configuration newer than the given version, if there is one
+	// within the wait, and the evacuations. It returns early when they change. The
+	// evacuations of an update are valid also if the configuration is not and an
+	// error is returned, unless their version is 0.
+	Next(ctx context.Context, version int64, wait time.Duration) (Update, error)
 }
 
 // Services holds the platform services that an instance uses.
@@ -61,7 +72,10 @@
 	// MaxConfigAge is the maximum time since the configuration was confirmed;
 	// after it, callers are refused.
 	MaxConfigAge time.Duration
-	Timing       control.Timing
+	// EvacuationTimeout is the time within which the start of tasks in an evacuated
+	// data centre must end, or 0 if the platform sets none.
+	EvacuationTimeout time.Duration
+	Timing            control.Timing
 }
 
 // Server is one entry instance.
@@ -76,6 +90,7 @@
 	// configConfirmedAt is when the configuration was last confirmed to be the
 	// newest.
 	configConfirmedAt atomic.Pointer[uptime.Stamp]
+	evacuations       evacuationView
 	seeds             atomic.Pointer[[]string]
 	planner           atomic.Pointer[control.Planner]
 	router            *relay.Router
@@ -97,7 +112,7 @@
 		member.WithFullMesh(), member.WithHubs(maxFullMeshInstances, hubsPerDataCentre))
 	services.Store.joinGroup(e.group)
 	e.router = relay.NewRouter(e.group, services.Dialer, e.incarnation, e.overloaded, log)
-	e.group.Handle(relay.ExchangeMethod, member.Typed(relay.NewServer(services.Dialer, log).Exchange))
+	e.group.Handle(relay.ExchangeMethod, member.Typed(relay.NewServer(services.Dialer, e.checkRelayedStart, log).Exchange))
 	e.registerHandlers()
 	return e
 }
--- a/daisylugd/entry/store_test.go
+++ b/daisylugd/entry/store_test.go
@@ -23,12 +23,12 @@
 
 func (f staticSource) Config() *control.Config { return f.config }
 
-func (f staticSource) Next(ctx context.Context, version int64, wait time.Duration) (Snapshot, error) {
+func (f staticSource) Next(ctx context.Context, version int64, wait time.Duration) (Update, error) {
 	if version >= f.config.Version {
 		sleep(ctx, wait)
-		return nil, nil
+		return Update{}, nil
 	}
-	return f, nil
+	return Update{Snapshot: f}, nil
 }
 
 // workerPool is a registry and dialer of in-memory workers.
--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/evacuation"
 	"daisylug.example/scheduler/member"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
@@ -35,7 +36,11 @@
 	// stopped sending heartbeats.
 	frozenHeartbeats map[string]int64
 	config           *Config
-	lastIncarnation  uint64
+	// evacuations are the data centres to evacuate; evacuationsUnknown is set while
+	// the planner cannot know them.
+	evacuations        evacuation.Set
+	evacuationsUnknown bool
+	lastIncarnation    uint64
 	// wrapRunner replaces the connection to a worker, if it is not nil.
 	wrapRunner func(platform.Runner) platform.Runner
 	adviser    platform.Adviser
@@ -133,8 +138,9 @@
 	}
 	p := New(Dependencies{
 		Term: planningTerm, Store: f.store, Registry: f, Dialer: dialer, Adviser: f.adviser, Config: func() *Config { return f.config },
-		Timing: Timing{Lease: leaseDuration, StopTimeout: stopTimeout, Heartbeat: heartbeatInterval, Retention: time.Minute},
-		Log:    klog.Background(), Metrics: metrics.NewSet(),
+		Evacuations: f.knownEvacuations,
+		Timing:      Timing{Lease: leaseDuration, StopTimeout: stopTimeout, Heartbeat: heartbeatInterval, Retention: time.Minute},
+		Log:         klog.Background(), Metrics: metrics.NewSet(),
 	})
 	if err := p.Load(ctx); err != nil {
 		f.t.Fatal(err)
@@ -150,6 +156,20 @@
 	}
 }
 
+// knownEvacuations implements Dependencies.Evacuations.
+func (f *testCluster) knownEvacuations() (evacuation.Set, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations, !f.evacuationsUnknown
+}
+
+// evacuate replaces the data centres to evacuate.
+func (f *testCluster) evacuate(dataCentres ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuations = evacuation.New(f.evacuations.Version()+1, dataCentres...)
+}
+
 // batchJob returns a job with one step in a team's queue.
 func batchJob(id, queue, team, payload string, step batch.Step) *batch.Job {
 	return &batch.Job{
@@ -243,7 +263,7 @@
 func (f *testCluster) addRelays(n int) *relayGroup {
 	g := &relayGroup{servers: map[string]*relay.Server{}, resumeAt: map[string]time.Time{}}
 	for i := range n {
-		g.servers[string(rune('a'+i))] = relay.NewServer(f, klog.Background())
+		g.servers[string(rune('a'+i))] = relay.NewServer(f, func() error { return nil }, klog.Background())
 	}
 	// Calls in progress end by themselves.
 	f.t.Cleanup(func() { time.Sleep(5 * time.Second) })
--- a/scheduler/control/command.go
+++ b/scheduler/control/command.go
@@ -44,6 +44,11 @@
 			}
 			continue
 		}
+		if !p.mayStartOn(w) {
+			p.withdrawStart(pl)
+			p.mu.Unlock()
+			return
+		}
 		p.recordLease(w, now)
 		pl.sent = true
 		request := platform.StartRequest{
@@ -105,6 +110,7 @@
 		restarted     *platform.RestartedError
 		rejected      *platform.RejectedError
 		invalidTicket *platform.TicketError
+		evacuated     *platform.EvacuatedError
 		unavailable   *platform.UnavailableError
 	)
 	switch {
@@ -131,6 +137,9 @@
 		p.backOffWorker(w, err.Error())
 		p.handleRefusedStart(pl, err)
 		return true
+	case errors.As(err, &evacuated):
+		p.withdrawStart(pl)
+		return true
 	case errors.As(err, &unavailable) && unavailable.Service == relay.ServiceName:
 		// The next attempt takes another path.
 		return false
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -91,6 +91,7 @@
 func (p *Planner) buildView(now time.Time) *decisionView {
 	v := &decisionView{input: assignment.View{Now: now}, workerIndex: map[string]int{}}
 	p.checkDataCentres(now)
+	p.refreshEvacuations(now)
 	for _, w := range p.workers {
 		v.workers = append(v.workers, w)
 	}
@@ -99,7 +100,7 @@
 		v.workerIndex[w.info.ID] = i
 		v.input.Workers = append(v.input.Workers, assignment.Worker{
 			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.speeds.Speed(w.info.ID),
+			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.currentSpeed(w, now),
 			SpeedKnown: p.speeds.Known(w.info.ID), AcceptsTasks: w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
 		})
 	}
--- a/scheduler/control/end.go
+++ b/scheduler/control/end.go
@@ -124,7 +124,7 @@
 	j := pl.job
 	w := pl.worker
 	w.failedRuns, w.backoff = 0, 0
-	if pl.checkpoint == "" && !pl.confirmedAt.IsZero() {
+	if pl.checkpoint == "" && !pl.confirmedAt.IsZero() && !w.cold(pl.confirmedAt) {
 		total := time.Since(pl.confirmedAt)
 		if !pl.step.Gang {
 			p.speeds.Observe(pl.stepKey(), w.info.ID, total)
--- a/scheduler/control/instruments.go
+++ b/scheduler/control/instruments.go
@@ -9,14 +9,22 @@
 	decide *metrics.Histogram
 	// panics counts the decisions that panicked.
 	panics *metrics.Counter
+	// withdrawnStarts counts the starts that were given up because their data
+	// centre was being evacuated.
+	withdrawnStarts *metrics.Counter
+	// guaranteeShortfall is the number of guaranteed accelerators that exceed those
+	// of the workers in use.
+	guaranteeShortfall *metrics.Gauge
 }
 
 func newInstruments(set *metrics.Set) *instruments {
 	return &instruments{
-		set:    set,
-		commit: set.GetOrCreateHistogram("daisylug_planner_commit_seconds"),
-		decide: set.GetOrCreateHistogram("daisylug_planner_decide_seconds"),
-		panics: set.GetOrCreateCounter("daisylug_planner_faults_total"),
+		set:                set,
+		commit:             set.GetOrCreateHistogram("daisylug_planner_commit_seconds"),
+		decide:             set.GetOrCreateHistogram("daisylug_planner_decide_seconds"),
+		panics:             set.GetOrCreateCounter("daisylug_planner_faults_total"),
+		withdrawnStarts:    set.GetOrCreateCounter("daisylug_planner_withdrawn_starts_total"),
+		guaranteeShortfall: set.GetOrCreateGauge("daisylug_planner_guarantee_shortfall_accelerators", nil),
 	}
 }
 
@@ -35,3 +43,9 @@
 func (m *instruments) jobDuration(team string) *metrics.Histogram {
 	return m.set.GetOrCreateHistogram(`daisylug_planner_job_seconds{team="` + team + `"}`)
 }
+
+// evacuatedRuns returns the gauge of the runs, gangs counted once, in a data
+// centre that is being evacuated.
+func (m *instruments) evacuatedRuns(dataCentre string) *metrics.Gauge {
+	return m.set.GetOrCreateGauge(`daisylug_planner_evacuated_runs{datacentre="`+dataCentre+`"}`, nil)
+}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/evacuation"
 	"daisylug.example/scheduler/pace"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/queue"
@@ -52,10 +53,13 @@
 	// Adviser is nil if the platform has none.
 	Adviser platform.Adviser
 	// Config returns the current configuration, or nil.
-	Config  func() *Config
-	Timing  Timing
-	Log     klog.Logger
-	Metrics *metrics.Set
+	Config func() *Config
+	// Evacuations returns the data centres to evacuate, and false while it is not
+	// known for certain which they are.
+	Evacuations func() (evacuation.Set, bool)
+	Timing      Timing
+	Log         klog.Logger
+	Metrics     *metrics.Set
 }
 
 // LeaseRenewalGracePeriod is how long leases are still renewed without a
@@ -96,6 +100,7 @@
 	unreadable  map[string]bool
 	workers     map[string]*worker
 	dataCentres map[string]*dataCentre
+	evacuations evacuationState
 	dirty       []*job
 	// commitStart is when the transaction in progress started, or zero.
 	commitStart time.Time
--- a/scheduler/control/report.go
+++ b/scheduler/control/report.go
@@ -105,8 +105,13 @@
 	if done < minSampleProgress {
 		return
 	}
-	if !pl.step.Gang {
-		p.speeds.Observe(pl.stepKey(), pl.worker.info.ID, time.Duration(float64(now.Sub(pl.sampledAt))/done))
+	total := time.Duration(float64(now.Sub(pl.sampledAt)) / done)
+	switch {
+	case pl.step.Gang:
+	case pl.worker.cold(now):
+		p.speeds.ObserveCold(pl.stepKey(), pl.worker.info.ID, total)
+	case !pl.worker.cold(pl.sampledAt):
+		p.speeds.Observe(pl.stepKey(), pl.worker.info.ID, total)
 	}
 	pl.sampledAt, pl.sampledProgress = now, progress
 }
--- a/scheduler/control/submission.go
+++ b/scheduler/control/submission.go
@@ -119,12 +119,12 @@
 	return Response{}
 }
 
-// feasible reports whether the listed workers, if they were empty, could hold a
-// task of the step, or all tasks of a gang.
+// feasible reports whether the listed workers outside evacuated data centres, if
+// they were empty, could hold a task of the step, or all tasks of a gang.
 func (p *Planner) feasible(s *batch.Step, service string) bool {
 	need, slots := s.AllocatedResources(), 0
 	for _, w := range p.workers {
-		if !w.listed || w.info.Service != service || !need.Fits(w.info.Capacity) {
+		if !w.listed || w.evacuated || w.info.Service != service || !need.Fits(w.info.Capacity) {
 			continue
 		}
 		free := w.info.Capacity
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -45,6 +45,10 @@
 type worker struct {
 	info   platform.RunnerInfo
 	runner platform.Runner
+	// evacuated is set while the worker's data centre is being evacuated.
+	evacuated bool
+	// coldUntil is until when the worker is slow after its start.
+	coldUntil time.Time
 	// listed is set while the registry contains the worker. unlistedAt is when
 	// it disappeared.
 	listed     bool
@@ -148,12 +152,15 @@
 		}
 		if w.info.HeartbeatVersion != info.HeartbeatVersion {
 			w.lastHeartbeat = p.registryReadAt
+			if info.ColdRemaining > 0 {
+				w.coldUntil = now.Add(info.ColdRemaining)
+			}
 		}
 		w.info = info
 		w.listed = true
 		w.unlistedAt = time.Time{}
 		if info.Leaving {
-			p.evacuate(w, now)
+			p.vacate(w, now)
 		}
 	}
 	for id, w := range p.workers {
@@ -204,7 +211,7 @@
 
 // schedulable reports whether the worker may get new tasks.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.listed && !w.info.Leaving && w.incarnation != 0 && w.incarnation == w.info.Incarnation &&
+	return w.listed && !w.info.Leaving && !w.evacuated && w.incarnation != 0 && w.incarnation == w.info.Incarnation &&
 		w.failedPolls < maxFailedPolls && now.After(w.backoffUntil)
 }
 
--- a/scheduler/pace/pace.go
+++ b/scheduler/pace/pace.go
@@ -17,6 +17,9 @@
 	// maxWeight bounds the weight of earlier observations, so that a worker
 	// that becomes slow is noticed within a few observations.
 	maxWeight = 6
+	// priorColdSlowness is the assumed slowness of a cold worker before one has been
+	// observed: half of the speed.
+	priorColdSlowness = math.Ln2
 	// maxResidual bounds the residual of one observation, as a natural
 	// logarithm. It corresponds to a factor of 20, and the speeds of servers
 	// differ by less than that.
@@ -39,6 +42,9 @@
 	// workers do not determine the common level, so it drifts.
 	median float64
 	stale  bool
+	// cold is the natural logarithm of the factor by which a worker is slower for a
+	// while after its start.
+	cold mean
 }
 
 // mean is a weighted mean.
@@ -51,7 +57,9 @@
 
 // New returns an estimator without observations.
 func New() *SpeedEstimator {
-	return &SpeedEstimator{workers: map[string]*mean{}, steps: map[Step]map[string]*mean{}}
+	return &SpeedEstimator{
+		workers: map[string]*mean{}, steps: map[Step]map[string]*mean{}, cold: mean{value: priorColdSlowness, weight: priorWeight},
+	}
 }
 
 // Observe records that a worker processes a task of a step at a rate at which
@@ -70,13 +78,7 @@
 		means[worker] = &mean{}
 	}
 	means[worker].add(observed, 1, maxWeight)
-	// The step's own length follows from its tasks on other workers.
-	others := mean{}
-	for w, m := range means {
-		if w != worker {
-			others.add(m.value-e.slowness(w), 1, math.Inf(1))
-		}
-	}
+	others := e.expectedLength(s, worker)
 	if others.weight == 0 {
 		return
 	}
@@ -90,6 +92,34 @@
 	e.stale = true
 }
 
+// expectedLength returns the natural logarithm of the time that a task of a step
+// takes at speed 1, according to the tasks on the other workers. Its weight is 0
+// if there are none.
+func (e *SpeedEstimator) expectedLength(s Step, worker string) mean {
+	others := mean{}
+	for w, m := range e.steps[s] {
+		if w != worker {
+			others.add(m.value-e.slowness(w), 1, math.Inf(1))
+		}
+	}
+	return others
+}
+
+// ObserveCold is like Observe for a worker that is cold, that is, slow for a while
+// after its start. It leaves the speed of the worker unchanged.
+func (e *SpeedEstimator) ObserveCold(s Step, worker string, total time.Duration) {
+	others := e.expectedLength(s, worker)
+	if total <= 0 || others.weight == 0 {
+		return
+	}
+	residual := math.Log(total.Seconds()) - others.value - e.slowness(worker)
+	e.cold.add(min(max(residual, 0), maxResidual), others.weight/(others.weight+1), maxWeight)
+}
+
+// ColdFactor returns the factor, at most 1, by which the speed of a worker is lower
+// while it is cold.
+func (e *SpeedEstimator) ColdFactor() float64 { return math.Exp(-e.cold.value) }
+
 // slowness returns the natural logarithm of the factor by which a worker is
 // slow.
 func (e *SpeedEstimator) slowness(worker string) float64 {
--- a/scheduler/platform/runner.go
+++ b/scheduler/platform/runner.go
@@ -50,6 +50,9 @@
 	HeartbeatVersion int64
 	// Incarnation identifies the worker process; it changes with each restart.
 	Incarnation int64
+	// ColdRemaining is how long the worker remains slow after its start, as of its
+	// last heartbeat.
+	ColdRemaining time.Duration
 }
 
 // Run identifies one start of a task. Later runs have higher numbers.
@@ -170,6 +173,14 @@
 
 func (e *TicketError) Error() string { return "worker does not accept the permit of the start" }
 
+// EvacuatedError reports a start that was not sent because the worker's data
+// centre is being evacuated.
+type EvacuatedError struct{ DataCentre string }
+
+func (e *EvacuatedError) Error() string {
+	return fmt.Sprintf("data centre %s is being evacuated", e.DataCentre)
+}
+
 // FencedError reports an order under a superseded generation.
 type FencedError struct{ Clock time.Duration }
 
--- a/scheduler/relay/codec.go
+++ b/scheduler/relay/codec.go
@@ -69,6 +69,7 @@
 		restarted   *platform.RestartedError
 		rejected    *platform.RejectedError
 		ticket      *platform.TicketError
+		evacuated   *platform.EvacuatedError
 		unavailable *platform.UnavailableError
 	)
 	workerClock := time.Duration(0)
@@ -89,6 +90,8 @@
 		a.Failure = schema.RelayFailure_RELAY_FAILURE_REBORN
 	case errors.As(err, &rejected):
 		a.Failure, a.Status, a.Reason = schema.RelayFailure_RELAY_FAILURE_REJECTED, int32(rejected.Status), rejected.Reason
+	case errors.As(err, &evacuated):
+		a.Failure, a.Reason = schema.RelayFailure_RELAY_FAILURE_EVACUATED, evacuated.DataCentre
 	case errors.As(err, &unavailable):
 		a.Failure = schema.RelayFailure_RELAY_FAILURE_UNAVAILABLE
 	default:
@@ -125,6 +128,8 @@
 		return &platform.RestartedError{}
 	case schema.RelayFailure_RELAY_FAILURE_REJECTED:
 		return &platform.RejectedError{Status: int(a.GetStatus()), Reason: a.GetReason()}
+	case schema.RelayFailure_RELAY_FAILURE_EVACUATED:
+		return &platform.EvacuatedError{DataCentre: a.GetReason()}
 	case schema.RelayFailure_RELAY_FAILURE_UNAVAILABLE:
 		return &platform.UnavailableError{Service: "worker", Cause: &RemoteError{a.GetReason()}}
 	}
--- a/scheduler/relay/codec_test.go
+++ b/scheduler/relay/codec_test.go
@@ -20,7 +20,7 @@
 		&platform.FencedError{Clock: time.Second}, &platform.StaleRunError{Clock: time.Second},
 		&platform.LeaseExpiredError{Clock: time.Second}, &platform.NoCapacityError{Clock: time.Second},
 		&platform.TicketError{Clock: time.Second}, &platform.UnhealthyError{Status: 503}, &platform.RestartedError{},
-		&platform.RejectedError{Status: 400, Reason: "no"},
+		&platform.RejectedError{Status: 400, Reason: "no"}, &platform.EvacuatedError{DataCentre: "a"},
 	} {
 		if got := decodeFailure(encodeFailure(c, err)); !reflect.DeepEqual(got, err) {
 			t.Errorf("%#v was decoded as %#v", err, got)
@@ -69,7 +69,7 @@
 			return
 		}
 		w := newWorkers(1)
-		srv := NewServer(singleRunner{w["w0"]}, klog.Background())
+		srv := NewServer(singleRunner{w["w0"]}, allowStarts, klog.Background())
 		for _, c := range m.GetCalls() {
 			c.Budget = min(c.GetBudget(), 5)
 			_ = decodeFailure(srv.execute(c, "", uptime.Now()))
--- a/scheduler/relay/router_test.go
+++ b/scheduler/relay/router_test.go
@@ -17,6 +17,7 @@
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
 	"daisylug.example/scheduler/schema"
+	"daisylug.example/scheduler/uptime"
 )
 
 // group is an in-process group of instances, each with a server.
@@ -39,7 +40,7 @@
 		delay: time.Millisecond,
 	}
 	for _, n := range names {
-		g.servers[n] = NewServer(dialer, klog.Background())
+		g.servers[n] = NewServer(dialer, allowStarts, klog.Background())
 		g.peers = append(g.peers, member.Peer{
 			Instance:  platform.Instance{Name: n, DataCentre: "x", Weight: 1, State: platform.StateLive},
 			Connected: true, Health: member.HealthAlive, Values: map[string][]byte{},
@@ -249,7 +250,7 @@
 // paused is not executed.
 func TestPausedDesk(t *testing.T) {
 	w := newWorkers(1)
-	srv := NewServer(w, klog.Background())
+	srv := NewServer(w, allowStarts, klog.Background())
 	c := &schema.RelayCall{Worker: "w0", Order: schema.RelayOrder_RELAY_ORDER_START, Run: encodeRun(run(0)), Generation: 1, Budget: 400}
 	a := srv.execute(c, "10s", -time.Hour)
 	var unavailable *platform.UnavailableError
@@ -273,3 +274,24 @@
 		}
 	})
 }
+
+func allowStarts() error { return nil }
+
+// TestRelayChecksStarts guards against a relay that sends a start which it may no
+// longer send, while it still forwards other orders.
+func TestRelayChecksStarts(t *testing.T) {
+	w := newWorkers(1)
+	refusal := &platform.EvacuatedError{DataCentre: "a"}
+	srv := NewServer(w, func() error { return refusal }, klog.Background())
+	for _, order := range []schema.RelayOrder{schema.RelayOrder_RELAY_ORDER_START, schema.RelayOrder_RELAY_ORDER_HOLD} {
+		c := &schema.RelayCall{Worker: "w0", Order: order, Run: encodeRun(run(0)), Generation: 1, Budget: 400}
+		err := decodeFailure(srv.execute(c, "10s", uptime.Now()))
+		var evacuated *platform.EvacuatedError
+		if isStart := order == schema.RelayOrder_RELAY_ORDER_START; errors.As(err, &evacuated) != isStart || !isStart && err != nil {
+			t.Errorf("%s: error %v", order, err)
+		}
+	}
+	if n := len(w["w0"].Starts()); n != 0 {
+		t.Errorf("%d starts", n)
+	}
+}
--- a/scheduler/relay/server.go
+++ b/scheduler/relay/server.go
@@ -31,7 +31,9 @@
 // Server executes calls to workers on behalf of planners on other instances.
 type Server struct {
 	dialer Dialer
-	log    klog.Logger
+	// checkStart returns an error if no start may be sent now.
+	checkStart func() error
+	log        klog.Logger
 
 	mu        sync.Mutex
 	sessions  map[sessionKey]*session
@@ -53,10 +55,11 @@
 	lastUsed time.Time
 }
 
-// NewServer returns a server that reaches workers through dialer.
-func NewServer(dialer Dialer, log klog.Logger) *Server {
+// NewServer returns a server that reaches workers through dialer. checkStart is
+// called right before each start is sent; its error, if any, is returned instead.
+func NewServer(dialer Dialer, checkStart func() error, log klog.Logger) *Server {
 	return &Server{
-		dialer: dialer, log: log, lastSweep: time.Now(),
+		dialer: dialer, checkStart: checkStart, log: log, lastSweep: time.Now(),
 		sessions: map[sessionKey]*session{}, runners: map[runnerKey]*cachedRunner{}, slots: make(chan struct{}, maxConcurrentCalls),
 	}
 }
@@ -148,6 +151,9 @@
 	var err error
 	switch c.GetOrder() {
 	case schema.RelayOrder_RELAY_ORDER_START:
+		if err = srv.checkStart(); err != nil {
+			break
+		}
 		workerClock, err = runner.Start(ctx, platform.StartRequest{
 			Run: decodeRun(c.GetRun()), Generation: c.GetGeneration(), LeaseDeadline: milliseconds(c.GetLease()),
 			Payload: payload, Checkpoint: c.GetCheckpoint(), Ticket: c.GetTicket(),
