control: no start is decided while evacuations are unknown; seams for later parts

Change: the condition is back, and the test counts withdrawn starts. A start that a relay refuses because it knows of an evacuation first backs off from the worker, so that it is not repeated until the planner knows as well.

Empty functions and fields with zero values that change nothing mark where the trust of workers, the order under overload, the refusal of late work and interference will take part in a decision.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -25,6 +25,18 @@
 	SpeedKnown bool
 	// AcceptsTasks is set if the worker accepts new tasks.
 	AcceptsTasks bool
+	// Trust limits what may start on a worker on which runs have failed.
+	Trust WorkerTrust
+}
+
+// WorkerTrust limits what may start on a worker. The zero value sets no limit.
+type WorkerTrust struct {
+	// Limited is set if at most NewTasks tasks may start in this decision, and
+	// only those of groups that may serve as a trial.
+	Limited  bool
+	NewTasks int
+	// Unproven is set while no run has ended well since the latest failed ones.
+	Unproven bool
 }
 
 // hasLabel reports whether the worker has the label. Every worker has the
@@ -72,6 +84,18 @@
 	// ReservedWorkers are the workers, by position in the view, on which
 	// capacity is being freed for the tasks.
 	ReservedWorkers []int
+	// Trial is set if the tasks may start on a worker whose trust is limited.
+	Trial bool
+	// ProvenOnlyUntil is until when the tasks start only on proven workers; zero
+	// means that they start on any.
+	ProvenOnlyUntil time.Time
+	// Share orders groups of the same priority and usefulness while not all can be
+	// done in time, lower first; 0 leaves the order by age.
+	Share float64
+	// Slowdown is the factor by which the tasks are expected to be slower on each
+	// worker, by position in the view, because of what runs there. It is nil if
+	// nothing is known.
+	Slowdown []float64
 }
 
 // totalNeed returns the resources that all tasks of the group need together.
--- a/scheduler/control/command.go
+++ b/scheduler/control/command.go
@@ -138,6 +138,8 @@
 		p.handleRefusedStart(pl, err)
 		return true
 	case errors.As(err, &evacuated):
+		// A relay knows of the evacuation before this instance does.
+		p.backOffWorker(w, err.Error())
 		p.withdrawStart(pl)
 		return true
 	case errors.As(err, &unavailable) && unavailable.Service == relay.ServiceName:
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -101,7 +101,8 @@
 		v.input.Workers = append(v.input.Workers, assignment.Worker{
 			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.currentSpeed(w, now),
-			SpeedKnown: p.speeds.Known(w.info.ID), AcceptsTasks: w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
+			SpeedKnown: p.speeds.Known(w.info.ID), AcceptsTasks: p.evacuations.known && w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
+			Trust: p.workerTrust(w, now),
 		})
 	}
 	v.input.Reserve = p.demand.reserve(p.urgentAccelerators())
@@ -111,6 +112,8 @@
 		p.addGroups(v, j, covered[j], now)
 	}
 	p.addRuns(v, covered, now)
+	p.applyShares(v)
+	p.applyInterference(v, now)
 	return v
 }
 
@@ -187,6 +190,7 @@
 			g.Guaranteed = covered
 			g.NeverStarted = !j.started
 			g.Idle = j.placementCount == 0
+			p.applyTrust(j, &g, now)
 			v.input.Groups = append(v.input.Groups, g)
 			v.jobs = append(v.jobs, j)
 		}
--- a/scheduler/control/evacuation_test.go
+++ b/scheduler/control/evacuation_test.go
@@ -167,6 +167,9 @@
 			if n := f.startsIn("a", "", time.Time{}) + f.startsIn("b", "", time.Time{}) + f.startsIn("c", "", time.Time{}); n != 0 {
 				t.Errorf("%d starts", n)
 			}
+			if n := p.instruments.withdrawnStarts.Get(); n != 0 {
+				t.Errorf("%d starts were decided and withdrawn", n)
+			}
 			f.mu.Lock()
 			f.evacuationsUnknown = false
 			f.mu.Unlock()
--- a/scheduler/control/submission.go
+++ b/scheduler/control/submission.go
@@ -116,7 +116,7 @@
 			return Response{Outcome: OutcomeRefused, RetryAfter: minRetryAfter, Reason: "the workers cannot hold a step at once"}
 		}
 	}
-	return Response{}
+	return p.checkLoad(spec, q)
 }
 
 // feasible reports whether the listed workers outside evacuated data centres, if
