control, platform: a leaving worker gets no repeated start; the registry keeps up

Read in the code, not seen in a log: a start without an answer was repeated for as long as the worker was silent, also after the worker had announced that it leaves; and the registry read one page of changes every half second, however many there were, while 3,000 workers change 2,000 rows a second. Whether the store limits a page is not stated.

Change: a start is checked against the worker's state right before each attempt, as against evacuations. An update of a cached table reads on while pages are long, at most ten; a failure after the first page keeps what was read.

Result: TestLeavingWorkerGetsNoRepeatedStart fails without the check (1 start).

--- a/scheduler/control/command.go
+++ b/scheduler/control/command.go
@@ -44,8 +44,8 @@
 			}
 			continue
 		}
-		if !p.mayStartOn(w) {
-			p.withdrawStart(pl)
+		if err := p.checkStart(w); err != nil {
+			p.withdrawStart(pl, err)
 			p.mu.Unlock()
 			return
 		}
@@ -140,7 +140,7 @@
 	case errors.As(err, &evacuated):
 		// A relay knows of the evacuation before this instance does.
 		p.backOffWorker(w, err.Error())
-		p.withdrawStart(pl)
+		p.withdrawStart(pl, err)
 		return true
 	case errors.As(err, &unavailable) && unavailable.Service == relay.ServiceName:
 		// The next attempt takes another path.
--- a/scheduler/control/evacuation.go
+++ b/scheduler/control/evacuation.go
@@ -21,11 +21,18 @@
 	lastMoveCheck time.Time
 }
 
-// mayStartOn reports whether a task may start on the worker now. It reads the
-// evacuations anew, since a start may have waited for the store or for the worker.
-func (p *Planner) mayStartOn(w *worker) bool {
-	set, known := p.Evacuations()
-	return known && !set.Contains(w.info.DataCentre)
+// checkStart returns an error if no task may start on the worker now: its data
+// centre is being evacuated, or the worker is leaving. It reads the evacuations
+// anew, since a start may have waited for the store or for the worker. The caller
+// holds the lock.
+func (p *Planner) checkStart(w *worker) error {
+	if set, known := p.Evacuations(); !known || set.Contains(w.info.DataCentre) {
+		return &platform.EvacuatedError{DataCentre: w.info.DataCentre}
+	}
+	if w.info.Leaving {
+		return &LeavingError{Worker: w.info.ID}
+	}
+	return nil
 }
 
 // refreshEvacuations applies changes of the evacuations. The caller holds the
@@ -109,10 +116,10 @@
 }
 
 // withdrawStart gives up a start that was not sent, or whose outcome is unknown,
-// because its data centre is being evacuated. The caller holds the lock.
-func (p *Planner) withdrawStart(pl *placement) {
+// because it must not be sent any more. The caller holds the lock.
+func (p *Planner) withdrawStart(pl *placement, cause error) {
 	p.instruments.withdrawnStarts.Inc()
-	p.handleRefusedStart(pl, &platform.EvacuatedError{DataCentre: pl.worker.info.DataCentre})
+	p.handleRefusedStart(pl, cause)
 }
 
 // runsIn returns the runs in a data centre, gangs as a whole, in order of their
--- a/scheduler/control/evacuation_test.go
+++ b/scheduler/control/evacuation_test.go
@@ -265,6 +265,31 @@
 	})
 }
 
+// TestLeavingWorkerGetsNoRepeatedStart guards against repeating a start without an
+// answer on a worker that has announced meanwhile that it leaves.
+func TestLeavingWorkerGetsNoRepeatedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 2)
+		var lost atomic.Bool
+		f.wrapRunner = func(r platform.Runner) platform.Runner { return &unansweredStarts{r, &lost} }
+		p, stop := f.startPlanner()
+		defer stop()
+		time.Sleep(settleTime)
+		lost.Store(true)
+		f.submit(p, batchJob("j", "later", "a", "1s", batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000}}))
+		time.Sleep(100 * time.Millisecond)
+		for _, r := range f.runners {
+			f.announceLeaving(r)
+		}
+		time.Sleep(2 * registryPollInterval)
+		lost.Store(false)
+		time.Sleep(3 * time.Second)
+		if n := f.countStarts("j"); n != 0 {
+			t.Errorf("%d starts on leaving workers", n)
+		}
+	})
+}
+
 // TestGuaranteeShortfall guards against guarantees that silently exceed the workers
 // outside the evacuated data centres.
 func TestGuaranteeShortfall(t *testing.T) {
--- a/scheduler/control/instruments.go
+++ b/scheduler/control/instruments.go
@@ -10,7 +10,7 @@
 	// panics counts the decisions that panicked.
 	panics *metrics.Counter
 	// withdrawnStarts counts the starts that were given up because their data
-	// centre was being evacuated.
+	// centre was being evacuated or their worker was leaving.
 	withdrawnStarts *metrics.Counter
 	// guaranteeShortfall is the number of guaranteed accelerators that exceed those
 	// of the workers in use.
--- a/scheduler/control/leaving.go
+++ b/scheduler/control/leaving.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// LeavingError reports a start that was not sent because the worker is leaving.
+type LeavingError struct{ Worker string }
+
+func (e *LeavingError) Error() string { return "worker " + e.Worker + " is leaving" }
+
 // leavingMargin is added to the time that a leaving worker announced, since
 // workers stay a little longer than they announce. A run that takes longer is
 // moved.
--- a/scheduler/platform/cache.go
+++ b/scheduler/platform/cache.go
@@ -27,29 +27,53 @@
 // Rows returns the cached rows by key. Callers must not modify them.
 func (c *TableCache) Rows() map[string]StoredRow { return c.rows }
 
+// A store may return only a part of the changes at a time. While a page has at
+// least fullWatchPage rows, Update reads on, at most maxWatchPages pages; otherwise
+// a table of thousands of rows that change often is read more slowly than it
+// changes.
+const (
+	fullWatchPage = 200
+	maxWatchPages = 10
+)
+
 // Update applies the changes since the last Update and returns the changed
 // rows; removed rows are marked as deleted. An error leaves the cache unchanged.
 func (c *TableCache) Update(ctx context.Context) ([]StoredRow, error) {
 	if c.version == 0 {
 		return c.load(ctx)
 	}
-	page, err := c.store.Watch(ctx, c.table, c.version, 0)
-	var compacted *CompactedError
-	if errors.As(err, &compacted) {
-		return c.load(ctx)
-	}
-	if err != nil {
-		return nil, err
-	}
-	for _, r := range page.Rows {
-		if r.Deleted {
-			delete(c.rows, r.Key)
-		} else {
-			c.rows[r.Key] = r
+	var changed []StoredRow
+	for range maxWatchPages {
+		page, err := c.store.Watch(ctx, c.table, c.version, 0)
+		var compacted *CompactedError
+		if errors.As(err, &compacted) {
+			loaded, err := c.load(ctx)
+			if err != nil && len(changed) > 0 {
+				break
+			}
+			return append(changed, loaded...), err
+		}
+		if err != nil && len(changed) > 0 {
+			// The next Update reports the failure if it lasts.
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range page.Rows {
+			if r.Deleted {
+				delete(c.rows, r.Key)
+			} else {
+				c.rows[r.Key] = r
+			}
+		}
+		changed = append(changed, page.Rows...)
+		c.version = max(c.version, page.Version)
+		if len(page.Rows) < fullWatchPage {
+			break
 		}
 	}
-	c.version = max(c.version, page.Version)
-	return page.Rows, nil
+	return changed, nil
 }
 
 // load reads all rows and returns those that differ from the cached ones.
