--- a/scheduler/control/datacentre.go
+++ b/scheduler/control/datacentre.go
@@ -23,6 +23,15 @@
 	unresponsive bool
 }
 
+// respondedSince returns when one of its workers last responded, or the start of the
+// term if none has.
+func (c *dataCentre) respondedSince(termStart time.Time) time.Time {
+	if c.lastResponse.IsZero() {
+		return termStart
+	}
+	return c.lastResponse
+}
+
 // callTracker tracks the unanswered calls to a worker.
 type callTracker struct {
 	lastID  int
@@ -99,7 +108,7 @@
 	for name, c := range p.dataCentres {
 		if !c.unresponsive && overdueWorkers[c] >= minUnresponsiveWorkers {
 			c.unresponsive = true
-			p.Log.Info("data centre does not respond", "datacentre", name, "workers", overdueWorkers[c], "since", now.Sub(c.lastResponse))
+			p.Log.Info("data centre does not respond", "datacentre", name, "workers", overdueWorkers[c], "since", now.Sub(c.respondedSince(p.startedAt)))
 		}
 	}
 }
