trust, control: stalled runs, runs that fail late, and waits that do not grow

Cause: a run that has been in progress for 2 s cleared the failures of its worker, so that a worker whose runs fail late would never have been excluded. The wait of tasks on their last attempt began anew whenever a sibling started. A run without progress while its siblings advance counted for nothing, and a damaged row could exclude a worker without end.

Change: a long run only raises an existing limit. The end of a wait is kept for each task and run, and is computed only while there is an unproven worker. A stalled run gets its worker a trial. Restored states are limited in time. A wave writes one log line instead of one for each worker.

--- a/scheduler/assignment/trust_test.go
+++ b/scheduler/assignment/trust_test.go
@@ -56,8 +56,18 @@
 // TestNothingStoppedForProven guards against runs that are stopped on proven
 // workers for a group that could start on unproven ones after a short wait.
 func TestNothingStoppedForProven(t *testing.T) {
-	for name, wait := range map[string]time.Duration{"waits": time.Second, "does not wait": 0} {
-		t.Run(name, func(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// ready is how long the group has been ready, wait how much longer it waits
+		// for proven workers.
+		ready, wait time.Duration
+		starts      int
+	}{
+		{"new", 0, time.Second, 0},
+		{"too late to stop runs on fast workers", preemptionWindow, time.Second, 0},
+		{"has waited", time.Second, 0, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
 			v := View{Now: now, Workers: idleRacks(1)}
 			for i := range v.Workers {
 				if i < 2 {
@@ -71,15 +81,10 @@
 				})
 			}
 			g := gangGroup("a", 2, 8)
-			g.Guaranteed, g.ReadySince, g.ProvenOnlyUntil = true, now, now.Add(wait)
+			g.Guaranteed, g.ReadySince, g.ProvenOnlyUntil = true, now.Add(-tt.ready), now.Add(tt.wait)
 			v.Groups = []Group{g}
-			d := Decide(v)
-			starts := 2
-			if wait > 0 {
-				starts = 0
-			}
-			if len(d.Stops) != 0 || len(d.Starts) != starts {
-				t.Errorf("%d stops, %d starts, want 0 and %d", len(d.Stops), len(d.Starts), starts)
+			if d := Decide(v); len(d.Stops) != 0 || len(d.Starts) != tt.starts {
+				t.Errorf("%d stops, %d starts, want 0 and %d", len(d.Stops), len(d.Starts), tt.starts)
 			}
 		})
 	}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -154,6 +154,8 @@
 	reservations map[stepRef]reservation
 	// advice holds the adviser's responses, by step.
 	advice map[stepRef]*advice
+	// provenWaits holds until when tasks wait for proven workers.
+	provenWaits map[batch.TaskID]provenWait
 }
 
 // stepRef identifies a step of an occurrence of a job.
--- a/scheduler/control/report.go
+++ b/scheduler/control/report.go
@@ -79,7 +79,7 @@
 		return
 	}
 	pl.missedPolls = 0
-	p.checkGoodRun(pl, r.Progress, now)
+	p.checkRun(pl, r.Progress, now)
 	pl.reportedProgress, pl.tailLatency = r.Progress, r.TailLatency
 	p.sampleSpeed(pl, r.Progress, now)
 	if r.Checkpoint != "" {
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,10 @@
 // trustState is the planner's state of the trust in its workers beyond that of each
 // worker.
 type trustState struct {
+	// unproven is set if there is an unproven worker.
+	unproven bool
+	// levels counts the workers at each level below the highest.
+	levels map[trust.Level]int
 	// spared are the workers that get a trial because too many of their service
 	// are excluded. It is derived anew for each decision.
 	spared map[*worker]bool
@@ -26,10 +31,11 @@
 
 // refreshTrust derives which workers may not be excluded. The caller holds the lock.
 func (p *Planner) refreshTrust(now time.Time) {
-	p.trust.spared = nil
+	p.trust.spared, p.trust.unproven = nil, false
 	levels := map[trust.Level]int{}
 	excluded := map[string][]*worker{}
 	for _, w := range p.workers {
+		p.trust.unproven = p.trust.unproven || w.trust.Unproven()
 		if !w.trust.Limited() {
 			continue
 		}
@@ -39,7 +45,10 @@
 			excluded[w.info.Service] = append(excluded[w.info.Service], w)
 		}
 	}
-	p.instruments.setTrustLevels(levels)
+	if p.trust.levels == nil || !maps.Equal(levels, p.trust.levels) {
+		p.trust.levels = levels
+		p.instruments.setTrustLevels(levels)
+	}
 	for service, all := range excluded {
 		excess := trust.ExcessExclusions(len(all), p.listedWorkers(service))
 		if excess == 0 {
@@ -94,8 +103,8 @@
 func (p *Planner) applyTrust(j *job, g *assignment.Group, now time.Time) {
 	failures := mostFailures(j, g)
 	g.Trial = !g.Gang && g.Priority > 0 && failures+1 < j.queue.MaxAttempts
-	if g.Gang || failures+1 >= j.queue.MaxAttempts {
-		g.ProvenOnlyUntil = trust.ProvenOnlyUntil(g.ReadySince, g.Objective, g.ExpectedDuration, g.Guaranteed)
+	if p.trust.unproven && (g.Gang || failures+1 >= j.queue.MaxAttempts) {
+		g.ProvenOnlyUntil = j.provenOnlyUntil(g, now)
 	}
 	if g.Guaranteed && !now.Before(g.ReadySince.Add(trust.MaxGuaranteedWait)) {
 		// The guarantee outweighs the risk of another failure.
@@ -103,6 +112,38 @@
 	}
 }
 
+// provenWait is until when a task waits for proven workers before a run.
+type provenWait struct {
+	run   int
+	until time.Time
+}
+
+// provenOnlyUntil returns until when the group waits for proven workers. The end of
+// the wait is fixed when a task is first seen to wait for its next run, so that
+// starts of other tasks of the step do not extend it.
+func (j *job) provenOnlyUntil(g *assignment.Group, now time.Time) time.Time {
+	if j.provenWaits == nil {
+		j.provenWaits = map[batch.TaskID]provenWait{}
+	}
+	tasks := j.progress.Step(j.spec, g.Occurrence, g.Step).Tasks
+	latest := time.Time{}
+	for _, i := range g.Indexes {
+		id := batch.TaskID{Job: g.Job, Occurrence: g.Occurrence, Step: g.Step, Index: i}
+		wait, ok := j.provenWaits[id]
+		if !ok || wait.run != tasks[i].Run {
+			wait = provenWait{tasks[i].Run, trust.ProvenOnlyUntil(now, g.Objective, g.ExpectedDuration, g.Guaranteed)}
+			j.provenWaits[id] = wait
+		}
+		if wait.until.After(latest) {
+			latest = wait.until
+		}
+		if g.Gang {
+			break
+		}
+	}
+	return latest
+}
+
 // mostFailures returns the largest number of failed runs of a waiting task of the
 // group. Those of a gang are counted at its first task.
 func mostFailures(j *job, g *assignment.Group) int {
@@ -212,46 +253,91 @@
 // others there have failed that they probably have a common cause. The caller holds
 // the lock.
 func (p *Planner) checkWave(failed *worker, now time.Time) {
+	p.lowerSharing(failed, "rack", failed.info.Rack, func(w *worker) string { return w.info.Rack }, now)
+	p.lowerSharing(failed, "datacentre", failed.info.DataCentre, func(w *worker) string { return w.info.DataCentre }, now)
+}
+
+// lowerSharing lowers the trust in the workers of the service that have the value
+// of a property if that is the likely cause of their failures.
+func (p *Planner) lowerSharing(failed *worker, property, value string, of func(*worker) string, now time.Time) {
+	if value == "" {
+		return
+	}
 	since := now.Add(-trust.WaveWindow)
-	for property, shared := range map[string]func(*worker) bool{
-		"rack": func(w *worker) bool { return failed.info.Rack != "" && w.info.Rack == failed.info.Rack },
-		"data centre": func(w *worker) bool {
-			return failed.info.DataCentre != "" && w.info.DataCentre == failed.info.DataCentre
-		},
-	} {
-		all, failures := 0, 0
-		for _, w := range p.workers {
-			if !w.listed || w.info.Service != failed.info.Service || !shared(w) {
-				continue
-			}
-			all++
-			if w.trust.Limited() && w.trust.LastFailure().After(since) {
-				failures++
-			}
-		}
-		if !trust.IsWave(failures, all) {
+	var sharing []*worker
+	failures := 0
+	for _, w := range p.workers {
+		if !w.listed || w.info.Service != failed.info.Service || of(w) != value {
 			continue
 		}
-		for _, w := range p.workers {
-			if w.info.Service == failed.info.Service && shared(w) {
-				p.setTrust(w, w.trust.WithSuspicion(since, now), "failures on other workers of the "+property)
+		sharing = append(sharing, w)
+		if w.trust.Limited() && w.trust.LastFailure().After(since) {
+			failures++
+		}
+	}
+	if !trust.IsWave(failures, len(sharing)) {
+		return
+	}
+	lowered := 0
+	for _, w := range sharing {
+		if before := w.trust; !before.Limited() {
+			w.trust = before.WithSuspicion(since, now)
+			if w.trust.Limited() {
+				lowered++
 			}
 		}
 	}
+	if lowered > 0 {
+		p.Log.Info("trust lowered by failures on other workers", property, value, "failed", failures, "workers", len(sharing), "lowered", lowered)
+	}
 }
 
-// checkGoodRun counts a run that has been in progress for some time and still
-// advances. The caller holds the lock.
-func (p *Planner) checkGoodRun(pl *placement, progress float64, now time.Time) {
-	advances := progress > pl.reportedProgress || pl.step.LongRunning
-	if !pl.startedAt.IsZero() && now.Sub(pl.startedAt) >= trust.GoodRunTime && advances {
-		p.countGoodRun(pl)
+// checkRun counts a run in progress for or against its worker, given the progress
+// that the worker reports now. The caller holds the lock.
+func (p *Planner) checkRun(pl *placement, progress float64, now time.Time) {
+	if progress > pl.reportedProgress || pl.progressedAt.IsZero() || pl.step.LongRunning {
+		pl.progressedAt = now
+	}
+	w := pl.worker
+	switch {
+	case pl.progressedAt.Equal(now):
+		if w.trust.Limited() && !pl.good && !pl.startedAt.IsZero() && now.Sub(pl.startedAt) >= trust.GoodRunTime {
+			pl.good = true
+			p.setTrust(w, w.trust.WithLongRun(pl.startedAt, now), "run in progress")
+		}
+	case !pl.stalled && now.Sub(pl.progressedAt) >= trust.StallTime && p.siblingsProgress(pl):
+		pl.stalled = true
+		p.Log.Info("run stalled", "task", pl.id, "run", pl.run, "worker", w.info.ID, "progress", progress, "for", now.Sub(pl.progressedAt))
+		p.setTrust(w, w.trust.WithSuspicion(pl.progressedAt, now), "run stalled")
+	}
+}
+
+// siblingsProgress reports whether a task of the same step on another worker has
+// advanced since this one did. The members of a gang wait for each other, and
+// best-effort tasks are throttled, so that these reveal nothing.
+func (p *Planner) siblingsProgress(pl *placement) bool {
+	if pl.step.Gang || pl.step.BestEffort {
+		return false
+	}
+	s := pl.job.progress.Step(pl.job.spec, pl.id.Occurrence, pl.id.Step)
+	for i := range s.Tasks {
+		id := pl.id
+		id.Index = i
+		w := p.workers[s.Tasks[i].Worker]
+		if w == nil || w == pl.worker {
+			continue
+		}
+		if o := w.placements[id]; o != nil && o.progressedAt.Sub(pl.progressedAt) >= trust.StallTime {
+			return true
+		}
 	}
+	return false
 }
 
-// countGoodRun counts a run for its worker, once. The caller holds the lock.
+// countGoodRun counts a run that ended well. The caller holds the lock.
 func (p *Planner) countGoodRun(pl *placement) {
-	if pl.good {
+	if pl.good && pl.worker.trust.Limited() {
+		// It has raised the limit before.
 		return
 	}
 	pl.good = true
--- a/scheduler/control/trust_test.go
+++ b/scheduler/control/trust_test.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
@@ -305,6 +303,50 @@
 	})
 }
 
+// stalledRunner is the connection to a worker whose reports show no progress.
+type stalledRunner struct{ platform.Runner }
+
+// RenewLease implements platform.Runner.
+func (r *stalledRunner) RenewLease(ctx context.Context, request platform.RenewLeaseRequest) (platform.RunnerState, error) {
+	state, err := r.Runner.RenewLease(ctx, request)
+	for i := range state.Running {
+		state.Running[i].Progress = 0.1
+	}
+	return state, err
+}
+
+// TestStalledRun guards against a full load on a worker whose runs make no progress
+// while others do, and against suspicion of workers while all wait.
+func TestStalledRun(t *testing.T) {
+	for name, all := range map[string]bool{"one worker stalls": false, "all workers stall": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestCluster(t, 4)
+				f.wrapRunner = func(r platform.Runner) platform.Runner {
+					if !all && r.(*memory.Runner).Info().ID != "w02" {
+						return r
+					}
+					return &stalledRunner{r}
+				}
+				p, stop := f.startPlanner()
+				defer stop()
+				time.Sleep(settleTime)
+				f.submit(p, batchJob("j", "later", "a", "8s", bulkStep(32)))
+				time.Sleep(5 * time.Second)
+				for id := range f.runners {
+					want := trust.LevelTrusted
+					if id == "w02" && !all {
+						want = trust.LevelTrial
+					}
+					if got := p.trustOf(id).Level(time.Now()); got != want {
+						t.Errorf("worker %s is %s, want %s", id, got, want)
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestSuccessorKnowsFaultyWorkers guards against a planner that gives faulty
 // workers a full load because it has just taken over, and against a record that is
 // applied to another process of a worker.
@@ -346,96 +388,3 @@
 		})
 	}
 }
-
-// TestWithoutFailuresNothingChanges runs work of each kind without a failure. It
-// guards against decisions that differ from those of a planner without trust:
-// workers have no limit, and no group is split.
-func TestWithoutFailuresNothingChanges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newTestCluster(t, 16)
-		f.setAttempts(1)
-		p, stop := f.startPlanner()
-		defer stop()
-		time.Sleep(settleTime)
-		for i := range 20 {
-			f.submit(p, batchJob(fmt.Sprint("bulk", i), "later", "a", "3s", bulkStep(20)))
-			f.submit(p, batchJob(fmt.Sprint("gang", i), "urgent", "b", "2s", gang(3, 4)))
-			time.Sleep(300 * time.Millisecond)
-			p.mu.Lock()
-			v := p.buildView(time.Now())
-			groups := map[stepOf]int{}
-			for g := range v.input.Groups {
-				groups[stepOf{v.input.Groups[g].Job, v.input.Groups[g].Step}]++
-			}
-			p.mu.Unlock()
-			for w := range v.input.Workers {
-				if got := v.input.Workers[w].Trust; got != (assignment.WorkerTrust{}) {
-					t.Fatalf("worker %s: %+v", v.input.Workers[w].ID, got)
-				}
-			}
-			for step, n := range groups {
-				if n != 1 {
-					t.Fatalf("%d groups of %v", n, step)
-				}
-			}
-		}
-	})
-}
-
-type stepOf struct {
-	job  string
-	step int
-}
-
-// TestApplyTrust guards against tasks that serve as a trial although their next
-// failure ends the job, and against guaranteed groups that wait too long.
-func TestApplyTrust(t *testing.T) {
-	ready := time.Unix(1000, 0)
-	slack := ready.Add(2 * time.Second)
-	tests := []struct {
-		name       string
-		failures   []int
-		attempts   int
-		gang       bool
-		priority   int
-		guaranteed bool
-		// waited is the time since the group became ready.
-		waited time.Duration
-		// trials and proven tell for each resulting group whether it may serve as a
-		// trial and until when it waits for proven workers.
-		trials []bool
-		proven []time.Time
-	}{
-		{"no failures", []int{0, 0}, 2, false, 1, false, 0, []bool{true}, []time.Time{{}}},
-		{"one attempt only", []int{0, 0}, 1, false, 1, false, 0, []bool{false}, []time.Time{slack}},
-		{"one of two on its last attempt", []int{1, 0}, 2, false, 1, false, 0, []bool{false, true}, []time.Time{slack, {}}},
-		{"both on their last attempt", []int{1, 1}, 2, false, 1, false, 0, []bool{false}, []time.Time{slack}},
-		{"attempts left", []int{1, 0}, 3, false, 1, false, 0, []bool{true}, []time.Time{{}}},
-		{"gang", []int{0, 0}, 3, true, 1, false, 0, []bool{false}, []time.Time{slack}},
-		{"urgent tasks", []int{1, 0}, 2, false, 0, false, 0, []bool{false}, []time.Time{slack}},
-		{"guaranteed gang", []int{0, 0}, 2, true, 0, true, 0, []bool{false}, []time.Time{ready.Add(time.Second)}},
-		{"guaranteed gang that has waited", []int{0, 0}, 2, true, 0, true, time.Second, []bool{true}, []time.Time{ready.Add(time.Second)}},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			spec := batchJob("j", "later", "a", "1s", batch.Step{Tasks: len(tt.failures), Gang: tt.gang})
-			j := newJob(spec, Queue{MaxAttempts: tt.attempts, Priority: tt.priority}, 0, batch.NewProgress(spec))
-			for i, n := range tt.failures {
-				j.progress.Steps[0].Tasks[i].Failures = n
-			}
-			g := assignment.Group{
-				Job: "j", Indexes: []int{0, 1}, Gang: tt.gang, Priority: tt.priority, Guaranteed: tt.guaranteed,
-				ReadySince: ready, ExpectedDuration: time.Second, Objective: ready.Add(5 * time.Second),
-			}
-			var trials []bool
-			var proven []time.Time
-			for _, part := range splitByRisk(j, g) {
-				(&Planner{}).applyTrust(j, &part, ready.Add(tt.waited))
-				trials, proven = append(trials, part.Trial), append(proven, part.ProvenOnlyUntil)
-			}
-			if !slices.Equal(trials, tt.trials) || !slices.EqualFunc(proven, tt.proven, time.Time.Equal) {
-				t.Errorf("%v until %v, want %v until %v", trials, proven, tt.trials, tt.proven)
-			}
-		})
-	}
-}
--- a/scheduler/control/trustrecord.go
+++ b/scheduler/control/trustrecord.go
@@ -64,5 +64,5 @@
 		Failures: int(r.GetFailures()), Allowance: int(r.GetAllowance()), Since: fromStore(r.GetSince()),
 		Exclusion: milliseconds(r.GetExclusion()), ExcludedUntil: fromStore(r.GetExcludedUntil()),
 		OpenFrom: fromStore(r.GetOpenFrom()), LastFailure: fromStore(r.GetLastFailure()),
-	}), "state of an earlier planner")
+	}, time.Now()), "state of an earlier planner")
 }
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -106,9 +106,11 @@
 	respondedAt time.Time
 	missedPolls int
 	// startedAt is when the start request was first sent, or zero if an earlier
-	// planner did that. good is set once the run has counted for its worker.
-	startedAt time.Time
-	good      bool
+	// planner did that. progressedAt is when the reported progress last grew. good
+	// and stalled are set once the run has counted for or against its worker.
+	startedAt     time.Time
+	progressedAt  time.Time
+	good, stalled bool
 	// sent is set once the start request was sent, outcomeUnknown if an attempt
 	// got no response.
 	sent, outcomeUnknown bool
--- a/scheduler/trust/attribution.go
+++ b/scheduler/trust/attribution.go
@@ -17,6 +17,11 @@
 	return healthy(worker) && slices.ContainsFunc(other, healthy)
 }
 
+// StallTime is how long a run makes no progress while its siblings do before it
+// counts as stalled. Workers report at least once a second, and restoring a
+// checkpoint takes less than a second.
+const StallTime = 3 * time.Second
+
 const (
 	// WaveWindow is the time within which failures on several workers count as a
 	// wave. A common cause shows within the run time of a short task.
--- a/scheduler/trust/record.go
+++ b/scheduler/trust/record.go
@@ -23,12 +23,21 @@
 	}, s.failures > 0 || s.allowance > 0
 }
 
-// Restore returns the state of a record. Values out of range, which another version
-// may have written, are limited.
-func Restore(r Record) State {
+// Restore returns the state of a record. Values out of range, which a damaged row
+// or another version may contain, are limited.
+func Restore(r Record, now time.Time) State {
 	return State{
 		failures: max(r.Failures, 0), several: true, allowance: min(max(r.Allowance, 0), fullAllowance-1),
-		since: r.Since, exclusion: min(max(r.Exclusion, 0), MaxExclusion),
-		excludedUntil: r.ExcludedUntil, openFrom: r.OpenFrom, lastFailure: r.LastFailure,
+		since: earlier(r.Since, now), exclusion: min(max(r.Exclusion, 0), MaxExclusion),
+		excludedUntil: earlier(r.ExcludedUntil, now.Add(MaxExclusion)),
+		openFrom:      earlier(r.OpenFrom, now.Add(MaxExclusion+trialTimeout)),
+		lastFailure:   earlier(r.LastFailure, now),
 	}
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/scheduler/trust/trust.go
+++ b/scheduler/trust/trust.go
@@ -25,9 +25,10 @@
 )
 
 const (
-	// MinExclusion and MaxExclusion bound how long a worker takes no tasks after
-	// failed runs. The time doubles with each failed trial.
+	// MinExclusion is how long a worker takes no tasks after failed runs. The time
+	// doubles with each failed trial.
 	MinExclusion = 500 * time.Millisecond
+	// MaxExclusion bounds the time that doubles.
 	MaxExclusion = 8 * time.Second
 	// toleratedFailures is the number of consecutive failed runs that may be
 	// caused by the runs themselves.
@@ -38,8 +39,8 @@
 	// probationPeriod is how long after a restart or a silence an immediate
 	// failure is not tolerated. A task placed at once has ended by then.
 	probationPeriod = 5 * time.Second
-	// GoodRunTime is how long a run must have been in progress to count as a good
-	// one before it ends: somewhat less than the shortest tasks take.
+	// GoodRunTime is how long a run must have been in progress to raise the limit of
+	// its worker before it ends: somewhat less than the shortest tasks take.
 	GoodRunTime = 2 * time.Second
 	// trialTimeout is how long a worker waits for a task that may serve as a
 	// trial. Without this limit a worker whose callers submit only gangs would
@@ -121,9 +122,8 @@
 	return s
 }
 
-// WithGoodRun returns the state after a run ended well, or has been in progress
-// for GoodRunTime. The run was started at the given time; it is zero if an earlier
-// planner started it.
+// WithGoodRun returns the state after a run ended well. The run was started at the
+// given time; it is zero if an earlier planner started it.
 func (s State) WithGoodRun(started, now time.Time) State {
 	if s.allowance > 0 && !started.After(s.since) {
 		return s
@@ -141,6 +141,16 @@
 	return s
 }
 
+// WithLongRun returns the state after a run has been in progress for GoodRunTime. It
+// raises the limit like a run that ended well, but failures of a worker without a
+// limit still count, since runs may fail late.
+func (s State) WithLongRun(started, now time.Time) State {
+	if s.allowance == 0 {
+		return s
+	}
+	return s.WithGoodRun(started, now)
+}
+
 // WithRestart returns the state of the next process of the worker. A worker that
 // was not trusted begins with a trial.
 func (s State) WithRestart(now time.Time) State {
--- a/scheduler/trust/trust_test.go
+++ b/scheduler/trust/trust_test.go
@@ -27,6 +27,10 @@
 	return func(s State) State { return s.WithGoodRun(at(started), at(now)) }
 }
 
+func long(started, now time.Duration) event {
+	return func(s State) State { return s.WithLongRun(at(started), at(now)) }
+}
+
 func restarted(now time.Duration) event {
 	return func(s State) State { return s.WithRestart(at(now)) }
 }
@@ -70,6 +74,8 @@
 		{"second good run", append(excluded, good(600*ms, s), good(s, 2*s)), 2 * s, 0, LevelRecovering, 4, false},
 		{"third good run", append(excluded, good(600*ms, s), good(s, 2*s), good(s, 2*s)), 2 * s, 9, LevelTrusted, unlimited, false},
 		{"a failure while recovering", append(excluded, good(600*ms, s), failed(3, 1100*ms, 1200*ms)), 1300 * ms, 0, LevelExcluded, 0, true},
+		{"a trial takes long", append(excluded, long(600*ms, 2600*ms)), 2600 * ms, 1, LevelRecovering, 1, false},
+		{"a long run between failures", []event{failed(1, 0, 3*s), long(0, 3*s), failed(2, 0, 3*s)}, 3 * s, 0, LevelExcluded, 0, true},
 		{"no trial is found", excluded, 4500 * ms, 0, LevelTrial, unlimited, true},
 		{"a late trial is in progress", excluded, 4500 * ms, 1, LevelTrial, 0, true},
 		{"immediate failure after a restart", []event{restarted(0), failed(1, s, 1100*ms)}, 1200 * ms, 0, LevelExcluded, 0, true},
