control: the test of a stalled run allows for late reports

Cause: 5 of 40 repetitions of TestStalledRun failed. The first and the last report of a run may each be a second late, and the test looked 5 s after the start for what 3 s without progress cause.

Change: the run takes longer, and the test looks 7 s after the start. It checks the same states.

Result: no failure in 100 repetitions of the tests of faulty workers and in 15 of all tests of control and assignment; it still fails without the check for stalled runs and without the comparison with siblings.

--- a/scheduler/control/trust_test.go
+++ b/scheduler/control/trust_test.go
@@ -331,8 +331,9 @@
 				p, stop := f.startPlanner()
 				defer stop()
 				time.Sleep(settleTime)
-				f.submit(p, batchJob("j", "later", "a", "8s", bulkStep(32)))
-				time.Sleep(5 * time.Second)
+				f.submit(p, batchJob("j", "later", "a", "12s", bulkStep(32)))
+				// Reports arrive up to a second late, both the first and the last.
+				time.Sleep(trust.StallTime + 4*time.Second)
 				for id := range f.runners {
 					want := trust.LevelTrusted
 					if id == "w02" && !all {
