trust, control, assignment: limits of trust do not delay guaranteed work

Cause: a guaranteed gang still got one task per trial worker after its wait, so gangs larger than the number of workers did not start within the time limit. The wait began when a worker became unproven instead of when the tasks became ready. Urgent gangs waited although trust was not what blocked them, lower jobs took trials that were reserved, advice counted trial workers as full capacity, limits scattered adjacent gangs, best-effort trials kept a worker closed, and late failures of runs from before an exclusion doubled it.

Reservations count against the limit, the pool holds workers whose trial is in progress, fitsWhenEmpty ignores limits, advice uses the slots that trust allows and treats spared workers as available. Best-effort and long-running tasks are no trials. Runs that started before an exclusion never lengthen it.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -35,6 +35,8 @@
 	// only those of groups that may serve as a trial.
 	Limited  bool
 	NewTasks int
+	// Excluded is set if no task may start.
+	Excluded bool
 	// Unproven is set while no run has ended well since the latest failed ones.
 	Unproven bool
 }
@@ -89,6 +91,8 @@
 	// ProvenOnlyUntil is until when the tasks start only on proven workers; zero
 	// means that they start on any.
 	ProvenOnlyUntil time.Time
+	// IgnoreTrust is set if the tasks start on all workers that are not excluded.
+	IgnoreTrust bool
 	// Share orders groups of the same priority and usefulness while not all can be
 	// done in time, lower first; 0 leaves the order by age.
 	Share float64
@@ -230,7 +234,7 @@
 func (d *decider) pool(matches func(*Worker) bool) pool {
 	p := pool{racks: make([][]int, len(d.rackIndex)), workers: make([]int, 0, len(d.view.Workers))}
 	for i := range d.view.Workers {
-		if w := &d.view.Workers[i]; w.AcceptsTasks && !w.Trust.full() && matches(w) {
+		if w := &d.view.Workers[i]; w.AcceptsTasks && !w.Trust.Excluded && matches(w) {
 			p.workers = append(p.workers, i)
 			p.racks[d.workerRack[i]] = append(p.racks[d.workerRack[i]], i)
 		}
@@ -260,7 +264,7 @@
 	slots, waiting := d.chooseWorkers(position)
 	if slots == nil {
 		switch {
-		case waiting, g.Guaranteed && d.waitsForProven(g):
+		case waiting, g.Guaranteed && d.waitsForTrust(g, d.accepting):
 		case g.Guaranteed:
 			d.reclaim(position)
 		case g.Gang && d.blockedReservations < maxBlockedReservations && g.tier(d.view.Now) != tierExpired:
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -266,6 +266,7 @@
 func (d *decider) reserveSlots(g *Group, slots []int) {
 	for _, w := range slots {
 		d.free[w] = d.free[w].Minus(g.Need)
+		d.countStart(w)
 	}
 }
 
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -57,11 +57,12 @@
 }
 
 // fitsWhenEmpty reports whether the group would fit on the workers if they were
-// idle. Of a group that is not a gang one task is enough.
+// idle and trusted: limits of trust are temporary, like other runs. Of a group that
+// is not a gang one task is enough.
 func (d *decider) fitsWhenEmpty(g *Group, workers []int) bool {
 	n := 0
 	for _, i := range workers {
-		n += d.slots(g, i, d.view.Workers[i].Capacity)
+		n += d.resourceSlots(g, i, d.view.Workers[i].Capacity)
 	}
 	return n >= len(g.Indexes) || !g.Gang && n > 0
 }
@@ -81,13 +82,19 @@
 }
 
 // slots returns how many tasks of the group fit into the free resources of a
-// worker.
+// worker and are allowed by the trust in it.
 func (d *decider) slots(g *Group, worker int, free batch.Resources) int {
+	return min(d.resourceSlots(g, worker, free), d.trustedSlots(g, worker))
+}
+
+// resourceSlots returns how many tasks of the group fit into the free resources of
+// a worker.
+func (d *decider) resourceSlots(g *Group, worker int, free batch.Resources) int {
 	w := &d.view.Workers[worker]
 	if !g.accepts(w) {
 		return 0
 	}
-	n := min(len(g.Indexes), d.trustedSlots(g, worker))
+	n := len(g.Indexes)
 	if g.MaxPerWorker > 0 {
 		n = min(n, g.MaxPerWorker-g.RunningPerWorker[w.ID])
 	}
--- a/scheduler/assignment/trust.go
+++ b/scheduler/assignment/trust.go
@@ -2,23 +2,34 @@
 
 import "time"
 
-// full reports whether no task may start on the worker in this decision.
-func (t WorkerTrust) full() bool { return t.Limited && t.NewTasks <= 0 }
-
-// trustedSlots returns how many more tasks of the group the trust in the worker
-// allows in this decision.
-func (d *decider) trustedSlots(g *Group, worker int) int {
-	t := &d.view.Workers[worker].Trust
+// TrustedTasks returns how many tasks of the group may start on a worker with the
+// given trust.
+func (g *Group) TrustedTasks(t WorkerTrust, now time.Time) int {
 	switch {
-	case t.Limited && !g.Trial, t.Unproven && d.view.Now.Before(g.ProvenOnlyUntil):
+	case t.Excluded:
+		return 0
+	case g.IgnoreTrust:
+		return unlimitedSlots
+	case t.Limited && !g.Trial, t.Unproven && now.Before(g.ProvenOnlyUntil):
 		return 0
 	case t.Limited:
-		return max(t.NewTasks-d.startedLimited[worker], 0)
+		return max(t.NewTasks, 0)
 	}
 	return unlimitedSlots
 }
 
-// countStart counts a task that starts on a worker against the worker's limit.
+// trustedSlots returns how many more tasks of the group the trust in the worker
+// allows in this decision.
+func (d *decider) trustedSlots(g *Group, worker int) int {
+	n := g.TrustedTasks(d.view.Workers[worker].Trust, d.view.Now)
+	if n == unlimitedSlots {
+		return n
+	}
+	return max(n-d.startedLimited[worker], 0)
+}
+
+// countStart counts a task that starts on a worker, or has a reservation there,
+// against the worker's limit.
 func (d *decider) countStart(worker int) {
 	if !d.view.Workers[worker].Trust.Limited {
 		return
@@ -29,22 +40,23 @@
 	d.startedLimited[worker]++
 }
 
-// waitsForProven reports whether the group could start now if it did not wait for
-// proven workers. Nothing is stopped for such a group: stopping runs on proven
-// workers costs more than a short wait.
-func (d *decider) waitsForProven(g *Group) bool {
-	if !d.view.Now.Before(g.ProvenOnlyUntil) || !d.anyUnproven() {
+// waitsForTrust reports whether the group, which does not fit into the pool now,
+// could start there if it ignored the trust in workers. Nothing is stopped for such
+// a group: stopping runs on trusted workers costs more than a short wait.
+func (d *decider) waitsForTrust(g *Group, in pool) bool {
+	if g.IgnoreTrust || !d.anyRestricted(g, in) {
 		return false
 	}
 	unrestricted := *g
-	unrestricted.ProvenOnlyUntil = time.Time{}
-	return d.findWorkers(&unrestricted, d.accepting) != nil
+	unrestricted.IgnoreTrust = true
+	return d.findWorkers(&unrestricted, in) != nil
 }
 
-// anyUnproven reports whether a worker in use is unproven.
-func (d *decider) anyUnproven() bool {
-	for _, w := range d.accepting.workers {
-		if d.view.Workers[w].Trust.Unproven {
+// anyRestricted reports whether trust limits the group on a worker of the pool
+// that is eligible for it.
+func (d *decider) anyRestricted(g *Group, in pool) bool {
+	for _, w := range in.workers {
+		if g.accepts(&d.view.Workers[w]) && d.trustedSlots(g, w) < len(g.Indexes) {
 			return true
 		}
 	}
--- a/scheduler/assignment/trust_test.go
+++ b/scheduler/assignment/trust_test.go
@@ -124,3 +124,104 @@
 		t.Errorf("%+v, want %+v", b, a)
 	}
 }
+
+// TestGuaranteedIgnoresTrust guards against guaranteed gangs that miss the limit for
+// their start because each worker on trial takes one task only, and against
+// starts on excluded workers.
+func TestGuaranteedIgnoresTrust(t *testing.T) {
+	for _, n := range []int{9, 16} {
+		for _, excluded := range []bool{false, true} {
+			v := View{Now: now, Workers: idleRacks(1)}
+			for i := range v.Workers {
+				v.Workers[i].Trust = WorkerTrust{Limited: true, NewTasks: 1, Unproven: true, Excluded: excluded}
+			}
+			g := gangGroup("a", n, 1)
+			g.Guaranteed, g.IgnoreTrust, g.ProvenOnlyUntil = true, true, now.Add(time.Second)
+			v.Groups = []Group{g}
+			want := n
+			if excluded {
+				want = 0
+			}
+			if got := len(Decide(v).Starts); got != want {
+				t.Errorf("gang of %d, excluded %v: %d starts, want %d", n, excluded, got, want)
+			}
+		}
+	}
+}
+
+// TestTrustDoesNotBlock guards against an urgent gang that waits for proven workers
+// although the unproven one is merely busy, or belongs to another service.
+func TestTrustDoesNotBlock(t *testing.T) {
+	for _, service := range []string{"s", "other"} {
+		v := View{Now: now, Workers: idleRacks(1)}
+		for i := range v.Workers {
+			if i >= 2 {
+				v.Workers[i].Speed = 0.5
+				continue
+			}
+			useAccelerators(&v.Workers[i], 8)
+			v.Running = append(v.Running, Running{
+				Job: "x", Priority: 1, Borrowed: true, LostWork: 0.1, Allocations: []Allocation{{Worker: i, Need: taskGroup("x", 1, 8).Need}},
+			})
+		}
+		v.Workers[7].Trust.Unproven, v.Workers[7].Service = true, service
+		useAccelerators(&v.Workers[7], 8)
+		g := gangGroup("a", 2, 8)
+		g.Objective, g.ReadySince, g.ProvenOnlyUntil = now.Add(3*time.Second), now, now.Add(time.Second)
+		v.Groups = []Group{g}
+		if d := Decide(v); len(d.Stops) != 2 {
+			t.Errorf("unproven worker of service %s: %d stops, %d starts, want 2 stops", service, len(d.Stops), len(d.Starts))
+		}
+	}
+}
+
+// TestReservationCountsAsTrial guards against a lower job that takes the trial which
+// is reserved for a guaranteed group.
+func TestReservationCountsAsTrial(t *testing.T) {
+	v := View{Now: now, Workers: idleRacks(1)[:2]}
+	v.Workers[0].Trust = WorkerTrust{Limited: true, NewTasks: 1}
+	useAccelerators(&v.Workers[1], 8)
+	v.Running = []Running{{
+		Job: "x", Priority: 1, Borrowed: true, LostWork: 0.1, Allocations: []Allocation{{Worker: 1, Need: taskGroup("x", 1, 8).Need}},
+	}}
+	g := gangGroup("a", 2, 4)
+	g.Guaranteed, g.Trial, g.Need.MilliCPU = true, true, 1000
+	g.MaxPerWorker = 1
+	low := taskGroup("b", 1, 1)
+	low.Priority, low.Trial = 1, true
+	v.Groups = []Group{g, low}
+	if d := Decide(v); len(d.Stops) != 1 || len(d.Reservations) != 1 || len(d.Starts) != 0 {
+		t.Errorf("%d stops, %d reservations, %d starts, want 1, 1 and 0", len(d.Stops), len(d.Reservations), len(d.Starts))
+	}
+}
+
+// TestAdjacentGangWaitsForTrust guards against an adjacent gang that is spread over
+// racks because of temporary limits on workers.
+func TestAdjacentGangWaitsForTrust(t *testing.T) {
+	v := View{Now: now, Workers: idleRacks(2)}
+	for _, w := range []int{0, 8} {
+		v.Workers[w].Trust = WorkerTrust{Unproven: true}
+		useAccelerators(&v.Workers[w], 8)
+	}
+	g := gangGroup("a", 8, 8)
+	g.Priority, g.ReadySince, g.ProvenOnlyUntil = 1, now, now.Add(time.Second)
+	v.Groups = []Group{g}
+	if n := len(Decide(v).Starts); n != 0 {
+		t.Errorf("%d starts, want 0", n)
+	}
+}
+
+// TestReclaimOnWorkerWithoutTrial guards against a run that no guaranteed group may
+// stop because the trial of its worker is in progress.
+func TestReclaimOnWorkerWithoutTrial(t *testing.T) {
+	v := View{Now: now, Workers: idleRacks(1)[:1]}
+	v.Workers[0].Trust = WorkerTrust{Limited: true, Unproven: true}
+	useAccelerators(&v.Workers[0], 8)
+	v.Running = []Running{{Job: "x", Priority: 1, Borrowed: true, LostWork: 0.1, Allocations: []Allocation{{Worker: 0, Need: taskGroup("x", 1, 8).Need}}}}
+	g := taskGroup("a", 1, 8)
+	g.Guaranteed, g.IgnoreTrust = true, true
+	v.Groups = []Group{g}
+	if d := Decide(v); len(d.Stops) != 1 {
+		t.Errorf("%d stops, want 1", len(d.Stops))
+	}
+}
--- a/scheduler/assignment/urgency.go
+++ b/scheduler/assignment/urgency.go
@@ -36,7 +36,7 @@
 	if d.view.Now.Sub(g.ReadySince) >= preemptionWindow {
 		return nil, false
 	}
-	if d.waitsForProven(g) {
+	if d.waitsForTrust(g, fast) {
 		return nil, true
 	}
 	fastAfterStop := d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, stopDelay) })
--- a/scheduler/control/advice.go
+++ b/scheduler/control/advice.go
@@ -88,11 +88,11 @@
 	slots := 0
 	for id, t := range a.tickets {
 		w := p.workers[id]
-		if w == nil || !w.available(now) || w.incarnation != t.incarnation || now.Add(ticketMargin).After(t.expiresAt) {
+		if w == nil || !p.available(w, now) || w.incarnation != t.incarnation || now.Add(ticketMargin).After(t.expiresAt) {
 			continue
 		}
 		g.Allowed[id] = true
-		slots += countFitting(g.Need, w)
+		slots += min(countFitting(g.Need, w), g.TrustedTasks(p.workerTrust(w, now), now))
 	}
 	if a.pending || slots >= len(g.Indexes) {
 		return
@@ -121,25 +121,26 @@
 }
 
 // adviceCandidates returns workers with free capacity that the adviser is not
-// known to have rejected, those with the most capacity first.
+// known to have rejected, those with the most capacity that may be used now first.
 func (p *Planner) adviceCandidates(a *advice, g *assignment.Group, now time.Time) []workerIncarnation {
 	type candidate struct {
 		worker *worker
-		slots  int
+		// trusted are the slots that may be used now.
+		trusted, slots int
 	}
 	var found []candidate
 	for id, w := range p.workers {
 		approved, known := a.verdicts[workerIncarnation{id, w.incarnation}]
-		if !w.available(now) || w.info.Service != g.Service || g.Allowed[id] || known && !approved ||
+		if !p.available(w, now) || w.info.Service != g.Service || g.Allowed[id] || known && !approved ||
 			g.Label != "" && !slices.Contains(w.info.Labels, g.Label) {
 			continue
 		}
 		if n := countFitting(g.Need, w); n > 0 {
-			found = append(found, candidate{w, n})
+			found = append(found, candidate{w, min(n, g.TrustedTasks(p.workerTrust(w, now), now)), n})
 		}
 	}
 	slices.SortFunc(found, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(x.worker.info.ID, y.worker.info.ID))
+		return cmp.Or(cmp.Compare(y.trusted, x.trusted), cmp.Compare(y.slots, x.slots), cmp.Compare(x.worker.info.ID, y.worker.info.ID))
 	})
 	limit := min(max(adviceWorkersPerTask*len(g.Indexes), minAdviceWorkers), maxAdviceWorkers, len(found))
 	selected := make([]workerIncarnation, 0, limit)
--- a/scheduler/control/advice_test.go
+++ b/scheduler/control/advice_test.go
@@ -6,8 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/trust"
 )
 
 // fakeAdviser approves some workers for a limited time.
@@ -101,3 +103,37 @@
 		})
 	}
 }
+
+// TestAdviceBeyondTrial guards against tasks that wait for a worker on trial while no
+// advice is requested on free workers, and against a spared worker without advice.
+func TestAdviceBeyondTrial(t *testing.T) {
+	now := time.Unix(1000, 0)
+	newWorker := func(id string) *worker {
+		w := &worker{listed: true, incarnation: 1}
+		w.info.ID, w.info.Service, w.info.Incarnation = id, "s", 1
+		w.info.Capacity = batch.Resources{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}
+		return w
+	}
+	onTrial, free, spared := newWorker("a"), newWorker("b"), newWorker("c")
+	onTrial.trust = trust.State{}.WithSuspicion(now, now)
+	started := now.Add(-time.Second)
+	for range 4 {
+		spared.trust = spared.trust.WithFailure(trust.Failure{Started: started, At: started.Add(time.Millisecond)})
+		started = started.Add(10 * time.Millisecond)
+	}
+	p := &Planner{
+		workers: map[string]*worker{"a": onTrial, "b": free, "c": spared}, adviceRequests: make(chan adviceRequest, 1),
+		trust: trustState{spared: map[*worker]bool{spared: true}},
+	}
+	j := &job{spec: &batch.Job{ID: "j"}, advice: map[stepRef]*advice{{}: {
+		verdicts: map[workerIncarnation]bool{}, tickets: map[string]adviserTicket{"a": {"t", 1, now.Add(time.Minute)}},
+	}}}
+	g := assignment.Group{Job: "j", Service: "s", Indexes: []int{0, 1, 2, 3}, Need: batch.Resources{Accelerators: 1}, Priority: 1, Trial: true}
+	p.applyAdvice(j, &g, now)
+	if len(p.adviceRequests) != 1 {
+		t.Fatal("no advice requested")
+	}
+	if r := <-p.adviceRequests; len(r.workers) != 2 || r.workers[0].worker != "b" || r.workers[1].worker != "c" {
+		t.Errorf("advice on %v, want b and c", r.workers)
+	}
+}
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -185,14 +185,23 @@
 			}
 			g := p.newGroup(v, j, occurrence, step, due)
 			g.Indexes = waiting
-			if p.needsAdvice(j) {
-				p.applyAdvice(j, &g, now)
-			}
 			g.Guaranteed = covered
 			g.NeverStarted = !j.started
 			g.Idle = j.placementCount == 0
-			for _, part := range splitByRisk(j, g) {
-				p.applyTrust(j, &part, now)
+			parts := splitByRisk(j, g)
+			for i := range parts {
+				p.applyTrust(j, &parts[i], now)
+			}
+			if p.needsAdvice(j) {
+				// The first part may use the fewest workers.
+				advised := parts[0]
+				advised.Indexes = g.Indexes
+				p.applyAdvice(j, &advised, now)
+				for i := range parts {
+					parts[i].Allowed = advised.Allowed
+				}
+			}
+			for _, part := range parts {
 				v.input.Groups = append(v.input.Groups, part)
 				v.jobs = append(v.jobs, j)
 			}
--- a/scheduler/control/evacuation.go
+++ b/scheduler/control/evacuation.go
@@ -8,6 +8,7 @@
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/evacuation"
 	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/trust"
 )
 
 // evacuationState is what the planner has applied of the evacuations.
@@ -208,7 +209,7 @@
 func (p *Planner) spareCapacity(service string, now time.Time) batch.Resources {
 	spare := batch.Resources{}
 	for _, w := range p.workers {
-		if w.info.Service == service && w.available(now) {
+		if w.info.Service == service && w.schedulable(now) && w.trust.Level(now) != trust.LevelExcluded {
 			spare = spare.Plus(w.info.Capacity.Minus(w.used))
 		}
 	}
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -76,8 +76,8 @@
 }
 
 // available reports whether the worker may get new tasks and is not excluded.
-func (w *worker) available(now time.Time) bool {
-	return w.schedulable(now) && w.trust.Level(now) != trust.LevelExcluded
+func (p *Planner) available(w *worker, now time.Time) bool {
+	return w.schedulable(now) && !p.workerTrust(w, now).Excluded
 }
 
 // workerTrust returns what may start on a worker.
@@ -91,25 +91,39 @@
 	}
 	inProgress := 0
 	for _, pl := range w.placements {
+		if pl.step.BestEffort {
+			// It is no trial, and may be throttled to no progress.
+			continue
+		}
 		if pl.phase == phaseReserved || pl.phase == phaseStarting || pl.startedAt.After(state.Since()) {
 			inProgress++
 		}
 	}
 	limit, limited := state.Limits(now, inProgress)
-	return assignment.WorkerTrust{Limited: limited, NewTasks: limit, Unproven: state.Unproven()}
+	return assignment.WorkerTrust{
+		Limited: limited, NewTasks: limit, Excluded: state.Level(now) == trust.LevelExcluded, Unproven: state.Unproven(),
+	}
 }
 
 // applyTrust sets which workers a group may use with respect to their failures.
 func (p *Planner) applyTrust(j *job, g *assignment.Group, now time.Time) {
 	failures := mostFailures(j, g)
-	g.Trial = !g.Gang && g.Priority > 0 && failures+1 < j.queue.MaxAttempts
+	// Best-effort tasks may be throttled to no progress and long-running ones do not
+	// end, so that neither proves a worker soon.
+	step := &j.spec.Steps[g.Step]
+	g.Trial = !g.Gang && g.Priority > 0 && failures+1 < j.queue.MaxAttempts && !step.BestEffort && !step.LongRunning
 	if p.trust.unproven && (g.Gang || failures+1 >= j.queue.MaxAttempts) {
 		g.ProvenOnlyUntil = j.provenOnlyUntil(g, now)
 	}
-	if g.Guaranteed && !now.Before(g.ReadySince.Add(trust.MaxGuaranteedWait)) {
-		// The guarantee outweighs the risk of another failure.
-		g.Trial = true
+	if !g.Guaranteed {
+		return
+	}
+	end := g.ReadySince.Add(trust.MaxGuaranteedWait)
+	if g.ProvenOnlyUntil.After(end) {
+		g.ProvenOnlyUntil = end
 	}
+	// The guarantee outweighs the risk of another failure.
+	g.IgnoreTrust = !now.Before(end)
 }
 
 // provenWait is until when a task waits for proven workers before a run.
--- a/scheduler/trust/trust.go
+++ b/scheduler/trust/trust.go
@@ -102,8 +102,9 @@
 	s.several = s.several || s.task != f.Task
 	s.failures++
 	s.lastFailure = f.At
-	if !counts || earlier && f.At.Before(s.excludedUntil) {
-		// Runs that started before the exclusion fail for the same reason.
+	if !counts || earlier && s.exclusion > 0 {
+		// Runs that started before the exclusion fail for the same reason, however
+		// late they do.
 		return s
 	}
 	s.exclusion = min(max(2*s.exclusion, MinExclusion), MaxExclusion)
--- a/scheduler/trust/trust_test.go
+++ b/scheduler/trust/trust_test.go
@@ -232,3 +232,15 @@
 		}
 	}
 }
+
+// TestEarlierRunsDoNotLengthen guards against a long exclusion after a short fault:
+// runs from before it that fail one after the other, also after its end.
+func TestEarlierRunsDoNotLengthen(t *testing.T) {
+	s := State{}
+	for i := range 8 {
+		s = failed(i, -time.Second, time.Duration(i)*600*time.Millisecond)(s)
+	}
+	if want := at(600*time.Millisecond + MinExclusion); !s.ExcludedUntil().Equal(want) {
+		t.Errorf("excluded until %v, want %v", s.ExcludedUntil(), want)
+	}
+}
