assignment: trust does not add stops for guaranteed gangs

Cause: while a guaranteed gang waited for trusted workers, capacity was freed on these only. With a free worker on trial, one more run was stopped in its place.

Change: the plan of what to stop for a guaranteed group ignores the limits of trust, since its wait ends about as soon as the stopped runs. The reservation holds the free workers meanwhile.

Result: TestTrustStopsNoMore: 1 stop instead of 2 for a gang of 5 with 3 trusted workers and one on trial free.

--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -41,12 +41,13 @@
 	if d.view.Now.Sub(g.ReadySince) >= runEndTimeout {
 		d.ignoreExpectedEnds()
 	}
-	best := d.plan(g, d.accepting, victimsBorrowed)
+	planned := g.afterWait()
+	best := d.plan(planned, d.accepting, victimsBorrowed)
 	if best == nil && g.NeverStarted {
 		// Running guaranteed work is fragmented so that the group fits nowhere,
 		// so some of it is preempted too. Only a job that has never started may
 		// do that, so that two jobs cannot preempt each other in turn.
-		best = d.plan(g, d.accepting, victimsAny)
+		best = d.plan(planned, d.accepting, victimsAny)
 	}
 	if best != nil {
 		d.applyPlan(position, best)
--- a/scheduler/assignment/trust.go
+++ b/scheduler/assignment/trust.go
@@ -40,6 +40,18 @@
 	d.startedLimited[worker]++
 }
 
+// afterWait returns the group as it will be once it has waited for trusted workers.
+// A guaranteed group uses the other workers about as soon as stopped runs have
+// ended, so that more runs need not be stopped in place of them.
+func (g *Group) afterWait() *Group {
+	if !g.Guaranteed || g.IgnoreTrust {
+		return g
+	}
+	later := *g
+	later.IgnoreTrust = true
+	return &later
+}
+
 // waitsForTrust reports whether the group, which does not fit into the pool now,
 // could start there if it ignored the trust in workers. Nothing is stopped for such
 // a group: stopping runs on trusted workers costs more than a short wait.
--- a/scheduler/assignment/trust_test.go
+++ b/scheduler/assignment/trust_test.go
@@ -225,3 +225,32 @@
 		t.Errorf("%d stops, want 1", len(d.Stops))
 	}
 }
+
+// TestTrustStopsNoMore guards against runs that are stopped in place of free workers
+// which a guaranteed gang may use after a short wait.
+func TestTrustStopsNoMore(t *testing.T) {
+	for _, ready := range []time.Duration{0, preemptionWindow} {
+		v := View{Now: now, Workers: idleRacks(1)}
+		v.Workers[0].Trust = WorkerTrust{Limited: true, NewTasks: 1, Unproven: true}
+		for i := 4; i < 8; i++ {
+			useAccelerators(&v.Workers[i], 8)
+			v.Running = append(v.Running, Running{
+				Job: "x", Priority: 1, Borrowed: true, LostWork: 0.1, Allocations: []Allocation{{Worker: i, Need: taskGroup("x", 1, 8).Need}},
+			})
+		}
+		g := gangGroup("a", 5, 8)
+		g.Guaranteed, g.ReadySince, g.ProvenOnlyUntil = true, now.Add(-ready), now.Add(time.Second)
+		v.Groups = []Group{g}
+		d := Decide(v)
+		if len(d.Stops) != 1 || len(d.Reservations) != 1 {
+			t.Fatalf("ready for %v: %d stops, %d reservations, want 1 and 1", ready, len(d.Stops), len(d.Reservations))
+		}
+		// The stopped run has ended and the wait is over.
+		useAccelerators(&v.Workers[v.Running[d.Stops[0]].Allocations[0].Worker], -8)
+		v.Groups[0].IgnoreTrust, v.Groups[0].ReservedWorkers = true, d.Reservations[0].Workers
+		v.Running = nil
+		if d := Decide(v); len(d.Stops) != 0 || len(d.Starts) != 5 {
+			t.Errorf("ready for %v: %d stops and %d starts after the wait, want 0 and 5", ready, len(d.Stops), len(d.Starts))
+		}
+	}
+}
--- a/scheduler/assignment/urgency.go
+++ b/scheduler/assignment/urgency.go
@@ -40,7 +40,7 @@
 		return nil, true
 	}
 	fastAfterStop := d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, stopDelay) })
-	p := d.compactPlan(g, fastAfterStop, victimsLowerPriority)
+	p := d.compactPlan(g.afterWait(), fastAfterStop, victimsLowerPriority)
 	if p == nil || p.loss > g.expectedWork() {
 		return nil, false
 	}
