control: test of guaranteed gangs while all workers are on trial

Cause: the tests of the limits of trust for guaranteed gangs covered single decisions and not the time from acceptance to the start.

Change: TestGuaranteedGangStartsOnTrialWorkers submits gangs of 8, 9 and 16 tasks to 8 workers on trial.

--- a/scheduler/control/trustgroup_test.go
+++ b/scheduler/control/trustgroup_test.go
@@ -273,3 +273,28 @@
 		t.Errorf("limited to %d new tasks", got.NewTasks)
 	}
 }
+
+// TestGuaranteedGangStartsOnTrialWorkers guards against guaranteed gangs that miss the
+// limit for their start while all workers are on trial.
+func TestGuaranteedGangStartsOnTrialWorkers(t *testing.T) {
+	for _, n := range []int{8, 9, 16} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestCluster(t, 8)
+			p, stop := f.startPlanner()
+			defer stop()
+			time.Sleep(settleTime)
+			p.mu.Lock()
+			for _, w := range p.workers {
+				p.setTrust(w, w.trust.WithSuspicion(time.Now(), time.Now()), "test")
+			}
+			p.mu.Unlock()
+			f.submit(p, batchJob("j", "urgent", "a", "1s", gang(n, 1)))
+			time.Sleep(trust.MaxGuaranteedWait + 900*time.Millisecond)
+			if got := f.countStarts("j"); got != n {
+				t.Errorf("%d of %d starts", got, n)
+			}
+			time.Sleep(2 * time.Second)
+			f.expectState(p, "urgent", "j", batch.JobDone)
+		})
+	}
+}
