Merge trust of workers: failing workers are tried with one task at a time

Runs on a worker whose failures look like its own exclude it for a while, then it takes one task at a time, then two, then four. Gangs and last attempts wait a bounded time for workers that have proven themselves.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -35,6 +35,8 @@
 	// only those of groups that may serve as a trial.
 	Limited  bool
 	NewTasks int
+	// Excluded is set if no task may start.
+	Excluded bool
 	// Unproven is set while no run has ended well since the latest failed ones.
 	Unproven bool
 }
@@ -89,6 +91,8 @@
 	// ProvenOnlyUntil is until when the tasks start only on proven workers; zero
 	// means that they start on any.
 	ProvenOnlyUntil time.Time
+	// IgnoreTrust is set if the tasks start on all workers that are not excluded.
+	IgnoreTrust bool
 	// Share orders groups of the same priority and usefulness while not all can be
 	// done in time, lower first; 0 leaves the order by age.
 	Share float64
@@ -197,7 +201,10 @@
 	victims map[victimScope]map[int][]int
 	// blockedReservations counts the blocked gangs for which capacity is reserved.
 	blockedReservations int
-	result              Decision
+	// startedLimited counts the tasks started by this decision on workers whose
+	// trust is limited, by position in the view.
+	startedLimited map[int]int
+	result         Decision
 }
 
 // indexRacks numbers the racks in the order of their names.
@@ -227,7 +234,7 @@
 func (d *decider) pool(matches func(*Worker) bool) pool {
 	p := pool{racks: make([][]int, len(d.rackIndex)), workers: make([]int, 0, len(d.view.Workers))}
 	for i := range d.view.Workers {
-		if w := &d.view.Workers[i]; w.AcceptsTasks && matches(w) {
+		if w := &d.view.Workers[i]; w.AcceptsTasks && !w.Trust.Excluded && matches(w) {
 			p.workers = append(p.workers, i)
 			p.racks[d.workerRack[i]] = append(p.racks[d.workerRack[i]], i)
 		}
@@ -257,7 +264,7 @@
 	slots, waiting := d.chooseWorkers(position)
 	if slots == nil {
 		switch {
-		case waiting:
+		case waiting, g.Guaranteed && d.waitsForTrust(g, d.accepting):
 		case g.Guaranteed:
 			d.reclaim(position)
 		case g.Gang && d.blockedReservations < maxBlockedReservations && g.tier(d.view.Now) != tierExpired:
@@ -271,6 +278,7 @@
 			return
 		}
 		d.free[w] = d.free[w].Minus(g.Need)
+		d.countStart(w)
 		d.result.Starts = append(d.result.Starts, Start{Group: position, Index: g.Indexes[i], Worker: w})
 	}
 }
@@ -300,7 +308,7 @@
 		need[w] = need[w].Plus(g.Need)
 	}
 	for w, n := range need {
-		if !d.view.Workers[w].AcceptsTasks || !n.Fits(d.free[w]) {
+		if !d.view.Workers[w].AcceptsTasks || !n.Fits(d.free[w]) || d.trustedSlots(g, w) < reservedTasks(g, w) {
 			return false
 		}
 	}
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -41,12 +41,13 @@
 	if d.view.Now.Sub(g.ReadySince) >= runEndTimeout {
 		d.ignoreExpectedEnds()
 	}
-	best := d.plan(g, d.accepting, victimsBorrowed)
+	planned := g.afterWait()
+	best := d.plan(planned, d.accepting, victimsBorrowed)
 	if best == nil && g.NeverStarted {
 		// Running guaranteed work is fragmented so that the group fits nowhere,
 		// so some of it is preempted too. Only a job that has never started may
 		// do that, so that two jobs cannot preempt each other in turn.
-		best = d.plan(g, d.accepting, victimsAny)
+		best = d.plan(planned, d.accepting, victimsAny)
 	}
 	if best != nil {
 		d.applyPlan(position, best)
@@ -153,7 +154,7 @@
 	best, bestVictims, bestLoss := -1, []int(nil), 0.0
 	for _, w := range workers {
 		worker := &d.view.Workers[w]
-		if !g.accepts(worker) || g.MaxPerWorker > 0 && g.RunningPerWorker[worker.ID]+planned[w] >= g.MaxPerWorker {
+		if !g.accepts(worker) || d.trustedSlots(g, w) <= planned[w] || g.MaxPerWorker > 0 && g.RunningPerWorker[worker.ID]+planned[w] >= g.MaxPerWorker {
 			continue
 		}
 		victims, loss, ok := d.victimsOn(g, w, scope, stopped)
@@ -266,6 +267,7 @@
 func (d *decider) reserveSlots(g *Group, slots []int) {
 	for _, w := range slots {
 		d.free[w] = d.free[w].Minus(g.Need)
+		d.countStart(w)
 	}
 }
 
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -92,6 +92,7 @@
 	v := &decisionView{input: assignment.View{Now: now}, workerIndex: map[string]int{}}
 	p.checkDataCentres(now)
 	p.refreshEvacuations(now)
+	p.refreshTrust(now)
 	for _, w := range p.workers {
 		v.workers = append(v.workers, w)
 	}
@@ -184,15 +185,26 @@
 			}
 			g := p.newGroup(v, j, occurrence, step, due)
 			g.Indexes = waiting
-			if p.needsAdvice(j) {
-				p.applyAdvice(j, &g, now)
-			}
 			g.Guaranteed = covered
 			g.NeverStarted = !j.started
 			g.Idle = j.placementCount == 0
-			p.applyTrust(j, &g, now)
-			v.input.Groups = append(v.input.Groups, g)
-			v.jobs = append(v.jobs, j)
+			parts := splitByRisk(j, g)
+			for i := range parts {
+				p.applyTrust(j, &parts[i], now)
+			}
+			if p.needsAdvice(j) {
+				// The first part may use the fewest workers.
+				advised := parts[0]
+				advised.Indexes = g.Indexes
+				p.applyAdvice(j, &advised, now)
+				for i := range parts {
+					parts[i].Allowed = advised.Allowed
+				}
+			}
+			for _, part := range parts {
+				v.input.Groups = append(v.input.Groups, part)
+				v.jobs = append(v.jobs, j)
+			}
 		}
 	}
 }
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -112,6 +112,7 @@
 	// learned holds what earlier planners have learned.
 	learned learnedState
 	demand  demand
+	trust   trustState
 	// lastCleanup is when obsolete jobs were last searched for.
 	lastCleanup time.Time
 	// lastDecision is when the latest decision ended, decisionTime how long it
@@ -153,6 +154,8 @@
 	reservations map[stepRef]reservation
 	// advice holds the adviser's responses, by step.
 	advice map[stepRef]*advice
+	// provenWaits holds until when tasks wait for proven workers.
+	provenWaits map[batch.TaskID]provenWait
 }
 
 // stepRef identifies a step of an occurrence of a job.
