entry: store calls are hedged and relayed through instances that the store serves

Cause: once a second a call tried the direct path for up to 0.9 s, and then two random peers for 1.2 s each, a third of which may be cut off as well. While the planner's instance was rejected by the store, submissions took 0.7 to 0.9 s at the median at all instances. A write whose direct attempt was refused and whose relayed attempt had no answer was reported as not executed.

Change: while the direct path is impaired, a small read probes it and calls go to peers at once. Instances announce the class of their path in the heartbeat value store; relays are chosen by class and distance, and an impaired relay refuses at once. Unguarded writes are not hedged.

--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -110,7 +110,7 @@
 	}
 	e.group = member.New(self, newDirectory(e), services.Peers, member.WithLogger(log),
 		member.WithFullMesh(), member.WithHubs(maxFullMeshInstances, hubsPerDataCentre))
-	services.Store.joinGroup(e.group)
+	services.Store.joinGroup(e.group, set)
 	e.router = relay.NewRouter(e.group, services.Dialer, e.incarnation, e.overloaded, log)
 	e.group.Handle(relay.ExchangeMethod, member.Typed(relay.NewServer(services.Dialer, e.checkRelayedStart, log).Exchange))
 	e.registerHandlers()
@@ -163,6 +163,7 @@
 func (e *Server) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.group.Run(ctx) })
+	group.Go(func() error { return e.services.Store.probePath(ctx) })
 	group.Go(func() error { return e.watchConfig(ctx) })
 	group.Go(func() error { return e.runElection(ctx) })
 	group.Go(func() error { return e.registerInstance(ctx) })
--- a/daisylugd/entry/store.go
+++ b/daisylugd/entry/store.go
@@ -4,9 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -23,235 +24,281 @@
 )
 
 const (
-	// directTimeout is the timeout of a direct call to the store, in addition to
-	// the requested wait. After it, the call is relayed through another instance.
+	// directTimeout is how long a direct call may be without an answer, in addition
+	// to the requested wait, before it is sent another way in any case.
 	directTimeout = 900 * time.Millisecond
-	// relayTimeout is the timeout of a relayed call, in addition to the requested
-	// wait.
+	// relayTimeout is directTimeout of a relayed call.
 	relayTimeout = 1200 * time.Millisecond
-	// maxRelayPeers is the maximum number of instances that are tried for one
-	// call.
-	maxRelayPeers = 2
-	// directBackoff is how long calls are relayed first after a direct call has
-	// failed and a relayed one has succeeded.
-	directBackoff = 1 * time.Second
+	// slowFactor is the multiple of the usual answer time to which the timeouts are
+	// extended.
+	slowFactor = 2
+	// maxCallTime bounds a call on all its ways, in addition to the requested wait.
+	// It covers the direct path and two relays that do not answer.
+	maxCallTime = directTimeout + 2*relayTimeout
+	// relayBackoff is how long an instance that failed to relay a call is asked after
+	// all others. It covers the time until its announcement arrives.
+	relayBackoff = 1 * time.Second
 )
 
 // RelayingStore accesses the platform's store directly, or through another
 // instance if the store does not serve this one. A call may be executed more
-// than once, which is safe because batches are guarded by the rows they write.
+// than once, which is safe because batches are guarded by the rows they write:
+// an Apply that took effect may return *PreconditionFailedError, with the rows
+// that it wrote.
 type RelayingStore struct {
-	direct platform.Store
-	group  *member.Group
-	log    klog.Logger
-	// directBackoffEnd is when direct calls are tried first again, or nil.
-	directBackoffEnd atomic.Pointer[time.Time]
-	relaying         atomic.Bool
+	direct      platform.Store
+	peers       relayPeers
+	log         klog.Logger
+	instruments *storeInstruments
+	// impaired receives a value when the direct path becomes impaired.
+	impaired chan struct{}
+
+	mu     sync.Mutex
+	health pathHealth
+	budget hedgeBudget
+	// failedUntil is until when an instance that failed to relay a call is asked
+	// last.
+	failedUntil map[string]time.Time
 }
 
 var _ platform.Store = (*RelayingStore)(nil)
 
+// relayPeers are the other instances. *member.Group implements it.
+type relayPeers interface {
+	Self() platform.Instance
+	Peers() []member.Peer
+	Call(ctx context.Context, instance, method string, request, response proto.Message) error
+	SetValue(key string, content []byte)
+	Handle(method string, h member.Handler)
+}
+
 // NewRelayingStore returns a store that calls direct. It relays calls only after
 // joinGroup.
 func NewRelayingStore(direct platform.Store, log klog.Logger) *RelayingStore {
-	return &RelayingStore{direct: direct, log: log}
+	return &RelayingStore{
+		direct: direct, log: log, impaired: make(chan struct{}, 1), failedUntil: map[string]time.Time{},
+		instruments: newStoreInstruments(metrics.NewSet()),
+	}
 }
 
 // joinGroup lets other instances relay store calls through this one, and lets
-// this one relay calls through them.
-func (s *RelayingStore) joinGroup(g *member.Group) {
-	s.group = g
-	g.Handle(methodApply, member.Typed(func(ctx context.Context, _ platform.Instance, m *schema.StoreCall) (proto.Message, error) {
+// this one relay calls through them. A relayed call is never relayed again.
+func (s *RelayingStore) joinGroup(g relayPeers, set *metrics.Set) {
+	s.peers, s.instruments = g, newStoreInstruments(set)
+	handle := func(method string, f func(context.Context, *schema.StoreCall) (platform.Page, error)) {
+		g.Handle(method, member.Typed(func(ctx context.Context, _ platform.Instance, m *schema.StoreCall) (proto.Message, error) {
+			if s.pathHealth().impaired() {
+				s.instruments.refusals.Inc()
+				return nil, &member.RefusedError{Kind: kindStorePath, Message: "the store does not serve this instance"}
+			}
+			wait, start := time.Duration(m.GetWait())*time.Millisecond, time.Now()
+			page, err := s.callDirect(ctx, wait, func(ctx context.Context) (platform.Page, error) { return f(ctx, m) })
+			if errors.Is(ctx.Err(), context.Canceled) {
+				// The caller was answered another way, which it took later.
+				s.updateHealth(func(h pathHealth) pathHealth {
+					if time.Since(start) < wait+h.hedgeDelay() {
+						return h
+					}
+					return h.withLoss(time.Now())
+				}, "error", err)
+			}
+			return encodeResponse(page, err)
+		}))
+	}
+	handle(methodApply, func(ctx context.Context, m *schema.StoreCall) (platform.Page, error) {
 		version, err := s.direct.Apply(ctx, platform.Batch{
 			Guards: decodeGuards(m.GetGuards()), Writes: decodeRows(m.GetWrites()), Removes: decodeKeys(m.GetRemoves()),
 		})
-		return encodeResponse(platform.Page{Version: version}, err)
-	}))
-	g.Handle(methodList, member.Typed(func(ctx context.Context, _ platform.Instance, m *schema.StoreCall) (proto.Message, error) {
-		return encodeResponse(s.direct.List(ctx, platform.Range{
+		return platform.Page{Version: version}, err
+	})
+	handle(methodList, func(ctx context.Context, m *schema.StoreCall) (platform.Page, error) {
+		return s.direct.List(ctx, platform.Range{
 			Table: m.GetTable(), Part: m.GetPart(), From: m.GetFrom(), Limit: int(m.GetLimit()),
-		}))
-	}))
-	g.Handle(methodWatch, member.Typed(func(ctx context.Context, _ platform.Instance, m *schema.StoreCall) (proto.Message, error) {
-		return encodeResponse(s.direct.Watch(ctx, m.GetTable(), m.GetAfter(), time.Duration(m.GetWait())*time.Millisecond))
-	}))
+		})
+	})
+	handle(methodWatch, func(ctx context.Context, m *schema.StoreCall) (platform.Page, error) {
+		return s.direct.Watch(ctx, m.GetTable(), m.GetAfter(), time.Duration(m.GetWait())*time.Millisecond)
+	})
 }
 
-// Apply implements platform.Store.
+// Apply implements platform.Store. Only a guarded batch is hedged.
 func (s *RelayingStore) Apply(ctx context.Context, b platform.Batch) (int64, error) {
-	page, err := s.call(ctx, 0, methodApply,
-		func(ctx context.Context) (platform.Page, error) {
+	page, err := s.call(ctx, storeCall{
+		method: methodApply, write: true, hedged: len(b.Guards) > 0,
+		direct: func(ctx context.Context) (platform.Page, error) {
 			version, err := s.direct.Apply(ctx, b)
 			return platform.Page{Version: version}, err
 		},
-		func() *schema.StoreCall {
-			m := &schema.StoreCall{}
-			for _, g := range b.Guards {
-				m.Guards = append(m.Guards, encodeRow(platform.StoredRow{RowKey: g.RowKey, Version: g.Version}))
-			}
-			for _, r := range b.Writes {
-				m.Writes = append(m.Writes, encodeRow(r))
-			}
-			for _, k := range b.Removes {
-				m.Removes = append(m.Removes, encodeRow(platform.StoredRow{RowKey: k}))
-			}
-			return m
-		})
+		message: func() *schema.StoreCall { return encodeBatch(b) },
+	})
 	return page.Version, err
 }
 
 // List implements platform.Store.
 func (s *RelayingStore) List(ctx context.Context, r platform.Range) (platform.Page, error) {
-	return s.call(ctx, 0, methodList,
-		func(ctx context.Context) (platform.Page, error) { return s.direct.List(ctx, r) },
-		func() *schema.StoreCall {
+	return s.call(ctx, storeCall{
+		method: methodList, hedged: true,
+		direct: func(ctx context.Context) (platform.Page, error) { return s.direct.List(ctx, r) },
+		message: func() *schema.StoreCall {
 			return &schema.StoreCall{Table: r.Table, Part: r.Part, From: r.From, Limit: int32(r.Limit)}
-		})
+		},
+	})
 }
 
-// Watch implements platform.Store.
+// Watch implements platform.Store. It is not hedged within the wait.
 func (s *RelayingStore) Watch(ctx context.Context, table string, after int64, wait time.Duration) (platform.Page, error) {
-	return s.call(ctx, wait, methodWatch,
-		func(ctx context.Context) (platform.Page, error) { return s.direct.Watch(ctx, table, after, wait) },
-		func() *schema.StoreCall {
+	return s.call(ctx, storeCall{
+		method: methodWatch, wait: wait, hedged: true,
+		direct: func(ctx context.Context) (platform.Page, error) { return s.direct.Watch(ctx, table, after, wait) },
+		message: func() *schema.StoreCall {
 			return &schema.StoreCall{Table: table, After: after, Wait: wait.Milliseconds()}
-		})
+		},
+	})
 }
 
-// call calls the store directly and then through other instances. During the
-// backoff after a failed direct call it tries the other instances first.
-func (s *RelayingStore) call(ctx context.Context, wait time.Duration, method string,
-	direct func(context.Context) (platform.Page, error), message func() *schema.StoreCall,
-) (platform.Page, error) {
-	backoffEnd := s.directBackoffEnd.Load()
-	inBackoff := backoffEnd != nil && time.Now().Before(*backoffEnd)
-	if inBackoff {
-		if page, err := s.relay(ctx, wait, method, message()); isStoreResponse(err) {
-			return page, err
-		}
+// callDirect calls the store directly and records what the call tells of the path.
+func (s *RelayingStore) callDirect(ctx context.Context, wait time.Duration, f func(context.Context) (platform.Page, error)) (platform.Page, error) {
+	start := time.Now()
+	page, err := f(ctx)
+	took := time.Since(start)
+	switch {
+	case isStoreResponse(err):
+		s.updateHealth(func(h pathHealth) pathHealth { return h.withAnswer(took, wait == 0) })
+	case ctx.Err() == nil:
+		s.updateHealth(func(h pathHealth) pathHealth { return h.withFailure(time.Now()) }, "error", err)
+	case took >= wait+directTimeout:
+		s.updateHealth(func(h pathHealth) pathHealth { return h.withLoss(time.Now()) }, "error", err)
 	}
-	directCtx, cancel := context.WithTimeout(ctx, wait+directTimeout)
-	page, err := direct(directCtx)
-	cancel()
-	if isStoreResponse(err) {
-		if s.relaying.CompareAndSwap(true, false) {
-			s.log.Info("store reachable directly again")
+	return page, err
+}
+
+// callRelay calls the store through another instance.
+func (s *RelayingStore) callRelay(ctx context.Context, instance string, c storeCall) (platform.Page, error) {
+	start := time.Now()
+	m, a := c.message(), &schema.StoreAnswer{}
+	if err := s.peers.Call(ctx, instance, c.method, m, a); err != nil {
+		if ctx.Err() == nil {
+			s.avoidRelay(instance)
 		}
-		return page, err
-	}
-	if ctx.Err() != nil || inBackoff {
-		return page, err
-	}
-	relayedPage, relayErr := s.relay(ctx, wait, method, message())
-	if !isStoreResponse(relayErr) {
-		return page, err
-	}
-	newBackoffEnd := time.Now().Add(directBackoff)
-	s.directBackoffEnd.Store(&newBackoffEnd)
-	if s.relaying.CompareAndSwap(false, true) {
-		s.log.Info("store not reachable directly, relaying calls through other instances", "error", err)
+		return platform.Page{}, err
 	}
-	return relayedPage, relayErr
+	s.instruments.relayed.Inc()
+	s.updateHealth(func(h pathHealth) pathHealth {
+		return h.withRelayed(time.Now(), time.Since(start), c.wait == 0)
+	})
+	return decodeResponse(m, a)
 }
 
-// isStoreResponse reports whether err is a response of the store itself, that
-// is, nil, a failed precondition or a compacted history.
-func isStoreResponse(err error) bool {
-	var preconditionFailed *platform.PreconditionFailedError
-	var compacted *platform.CompactedError
-	return err == nil || errors.As(err, &preconditionFailed) || errors.As(err, &compacted)
+// avoidRelay lets an instance be asked after all others for relayBackoff.
+func (s *RelayingStore) avoidRelay(instance string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedUntil[instance] = time.Now().Add(relayBackoff)
 }
 
-// relay sends a store call through up to maxRelayPeers other instances, one
-// after the other, until one responds.
-func (s *RelayingStore) relay(ctx context.Context, wait time.Duration, method string, m *schema.StoreCall) (platform.Page, error) {
-	var err error = &platform.UnavailableError{Service: "store"}
-	if s.group == nil {
-		return platform.Page{}, err
+// relays returns the instances through which a call is relayed, best first.
+func (s *RelayingStore) relays() []string {
+	if s.peers == nil {
+		return nil
 	}
-	asked := 0
-	peers := s.group.Peers()
-	// The random order spreads the relayed calls over the peers.
+	peers := s.peers.Peers()
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
-	for _, p := range peers {
-		if !p.Connected || p.Health != member.HealthAlive {
-			continue
-		}
-		if asked++; asked > maxRelayPeers {
-			break
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for name, until := range s.failedUntil {
+		if !now.Before(until) {
+			delete(s.failedUntil, name)
 		}
-		a := &schema.StoreAnswer{}
-		relayCtx, cancel := context.WithTimeout(ctx, wait+relayTimeout)
-		err = s.group.Call(relayCtx, p.Instance.Name, method, m, a)
-		cancel()
-		if err != nil {
-			continue
-		}
-		switch {
-		case a.GetChanged():
-			return platform.Page{}, &platform.PreconditionFailedError{Rows: decodeRows(a.GetRows())}
-		case a.GetCompacted():
-			return platform.Page{}, &platform.CompactedError{Table: m.GetTable(), After: m.GetAfter()}
-		}
-		now := time.Duration(a.GetNow()) * time.Millisecond
-		return platform.Page{Rows: decodeRows(a.GetRows()), More: a.GetMore(), Version: a.GetVersion(), Now: now}, nil
 	}
-	return platform.Page{}, err
+	return selectRelays(s.peers.Self(), peers, func(name string) bool { return now.Before(s.failedUntil[name]) })
 }
 
-// encodeResponse encodes a response of the store. It returns other errors, which
-// fail the call.
-func encodeResponse(page platform.Page, err error) (proto.Message, error) {
-	var preconditionFailed *platform.PreconditionFailedError
-	var compacted *platform.CompactedError
-	a := &schema.StoreAnswer{Version: page.Version, More: page.More, Now: page.Now.Milliseconds()}
-	switch {
-	case errors.As(err, &preconditionFailed):
-		a.Changed = true
-		page.Rows = preconditionFailed.Rows
-	case errors.As(err, &compacted):
-		a.Compacted = true
-	case err != nil:
-		return nil, err
-	}
-	for _, r := range page.Rows {
-		a.Rows = append(a.Rows, encodeRow(r))
-	}
-	return a, nil
+func (s *RelayingStore) pathHealth() pathHealth {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health
 }
 
-func encodeRow(r platform.StoredRow) *schema.StoredRow {
-	return &schema.StoredRow{
-		Table: r.Table, Part: r.Part, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted,
+// updateHealth changes what is known of the direct path, and logs and announces
+// the change.
+func (s *RelayingStore) updateHealth(change func(pathHealth) pathHealth, keysAndValues ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.health
+	s.health = change(before)
+	class := s.health.announced()
+	switch {
+	case s.health.impaired() && !before.impaired():
+		s.log.Info("store not reachable directly, relaying calls through other instances", keysAndValues...)
+		s.instruments.impaired.Set(1)
+		select {
+		case s.impaired <- struct{}{}:
+		default:
+		}
+	case !s.health.impaired() && before.impaired():
+		s.log.Info("store reachable directly again", "after", time.Since(before.impairedSince), "class", class)
+		s.instruments.impaired.Set(0)
+	}
+	if class != before.announced() && s.peers != nil {
+		s.peers.SetValue(valueStore, []byte(class))
 	}
 }
 
-func decodeKey(m *schema.StoredRow) platform.RowKey {
-	return platform.RowKey{Table: m.GetTable(), Part: m.GetPart(), Key: m.GetKey()}
+// isStoreResponse reports whether err is a response of the store itself, that
+// is, nil, a failed precondition or a compacted history.
+func isStoreResponse(err error) bool {
+	var preconditionFailed *platform.PreconditionFailedError
+	var compacted *platform.CompactedError
+	return err == nil || errors.As(err, &preconditionFailed) || errors.As(err, &compacted)
 }
 
-func decodeRows(ms []*schema.StoredRow) []platform.StoredRow {
-	all := make([]platform.StoredRow, 0, len(ms))
-	for _, m := range ms {
-		all = append(all, platform.StoredRow{
-			RowKey: decodeKey(m), Version: m.GetVersion(), Value: m.GetValue(), Deleted: m.GetDeleted(),
-		})
-	}
-	return all
-}
+const (
+	// minProbeInterval and maxProbeInterval bound the time between two probes of an
+	// impaired path. It doubles while they fail, so that an outage costs few calls.
+	minProbeInterval = 200 * time.Millisecond
+	maxProbeInterval = 800 * time.Millisecond
+	// probeCallTimeout is the timeout of a probe, and maxProbeCallTimeout that of one
+	// while relayed calls are slow as well.
+	probeCallTimeout    = 400 * time.Millisecond
+	maxProbeCallTimeout = 3 * time.Second
+)
 
-func decodeKeys(ms []*schema.StoredRow) []platform.RowKey {
-	all := make([]platform.RowKey, 0, len(ms))
-	for _, m := range ms {
-		all = append(all, decodeKey(m))
+// probePath probes the direct path while it is impaired, until ctx ends.
+func (s *RelayingStore) probePath(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.impaired:
+		}
+		for interval := minProbeInterval; s.pathHealth().impaired() && ctx.Err() == nil; {
+			sleep(ctx, interval)
+			if s.probe(ctx) {
+				interval = minProbeInterval
+			} else {
+				interval = min(2*interval, maxProbeInterval)
+			}
+		}
 	}
-	return all
 }
 
-func decodeGuards(ms []*schema.StoredRow) []platform.Guard {
-	all := make([]platform.Guard, 0, len(ms))
-	for _, m := range ms {
-		all = append(all, platform.Guard{RowKey: decodeKey(m), Version: m.GetVersion()})
+// probe makes a small read on the direct path and reports whether it was answered.
+func (s *RelayingStore) probe(ctx context.Context) bool {
+	s.instruments.probes.Inc()
+	timeout := min(max(probeCallTimeout, slowFactor*s.pathHealth().relayed), maxProbeCallTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	start := time.Now()
+	_, err := s.direct.List(probeCtx, platform.Range{Table: instanceTable, Limit: 1})
+	if ctx.Err() != nil {
+		return false
 	}
-	return all
+	s.updateHealth(func(h pathHealth) pathHealth {
+		if !h.impaired() {
+			return h
+		}
+		return h.withProbe(time.Since(start), err == nil)
+	})
+	return err == nil
 }
