entry: a submission that cannot be forwarded is refused in time

Cause: a submission for which no planner was reached ended as unavailable, after 1 s or when the caller no longer waited, although it was certain that no attempt had been executed.

Change: the attempts of a call are an immutable value. If none can have been executed, a submission ends as refused with a retry delay, at the latest 100 ms before the caller's deadline. After an attempt whose outcome is unknown, or whose handler failed, the outcome stays unknown. Other calls end as before.

--- a/daisylugd/entry/call.go
+++ b/daisylugd/entry/call.go
@@ -28,6 +28,9 @@
 	plannerTimeout = 1 * time.Second
 	// plannerRetryDelay is the delay between two attempts to reach the planner.
 	plannerRetryDelay = 60 * time.Millisecond
+	// responseMargin is the part of the time of a caller that is left for the refusal
+	// of a submission that cannot be forwarded.
+	responseMargin = 100 * time.Millisecond
 	// noPlannerRetryAfter is the retry delay sent to callers while there is no
 	// planner.
 	noPlannerRetryAfter = 1 * time.Second
@@ -114,39 +117,76 @@
 func fixedRequest(m proto.Message) func() proto.Message { return func() proto.Message { return m } }
 
 // callPlanner calls the planner, local or remote, and retries on failure, also
-// when the planner moves to another instance. After an attempt that may have
-// been executed, a refusal or failure is reported as an unknown outcome.
+// when the planner moves to another instance. If no attempt can have been executed,
+// it gives up after plannerTimeout, and a submission in time for the response to
+// reach the caller; otherwise it retries until the outcome is known or ctx ends.
 func (e *Server) callPlanner(ctx context.Context, method string, request func() proto.Message, local func(*control.Planner) control.Response) control.Response {
-	start := time.Now()
-	outcomeUnknown := false
-	lastFailure := control.Response{Outcome: control.OutcomeUnavailable, RetryAfter: noPlannerRetryAfter, Reason: "no planner is known"}
+	giveUpAt := time.Now().Add(plannerTimeout)
+	if deadline, ok := ctx.Deadline(); ok && method == methodSubmit && deadline.Add(-responseMargin).Before(giveUpAt) {
+		giveUpAt = deadline.Add(-responseMargin)
+	}
+	a := attempts{reason: "no planner is known"}
 	for ctx.Err() == nil {
 		response, err := e.callPlannerOnce(ctx, method, request(), local)
-		var notExecuted *member.NotExecutedError
-		switch {
-		case err == nil && response.Outcome == control.OutcomeUnknown:
-			outcomeUnknown = true
-		case err == nil && response.Outcome == control.OutcomeRefused && outcomeUnknown:
-			return control.Response{Outcome: control.OutcomeUnknown, Reason: response.Reason}
-		case err == nil && response.Outcome != control.OutcomeUnavailable:
-			return response
-		case err == nil:
-			lastFailure.Reason = response.Reason
-		case !errors.As(err, &notExecuted):
-			outcomeUnknown = true
-			lastFailure.Reason = err.Error()
-		default:
-			lastFailure.Reason = err.Error()
+		a = a.with(response, err)
+		if err == nil && a.settles(response) {
+			return a.response(response)
 		}
-		if !outcomeUnknown && time.Since(start) > plannerTimeout {
+		if !a.unknown && time.Now().Add(plannerRetryDelay).After(giveUpAt) {
 			break
 		}
 		sleep(ctx, plannerRetryDelay)
 	}
-	if outcomeUnknown {
-		lastFailure.Outcome = control.OutcomeUnknown
+	return a.failure(method)
+}
+
+// attempts sums up the attempts of one call of the planner. Values are immutable.
+type attempts struct {
+	// unknown is set if an attempt may have been executed, or may be later.
+	unknown bool
+	reason  string
+}
+
+// with returns the attempts with another one.
+func (a attempts) with(response control.Response, err error) attempts {
+	var notExecuted *member.NotExecutedError
+	switch {
+	case err == nil && response.Outcome == control.OutcomeUnknown:
+		a.unknown = true
+	case err != nil:
+		a.unknown = a.unknown || !errors.As(err, &notExecuted)
+		a.reason = err.Error()
+	case response.Outcome == control.OutcomeUnavailable:
+		a.reason = response.Reason
+	}
+	return a
+}
+
+// settles reports whether a response of the planner ends the call.
+func (a attempts) settles(response control.Response) bool {
+	return response.Outcome != control.OutcomeUnknown && response.Outcome != control.OutcomeUnavailable
+}
+
+// response returns the response of the planner to the caller. A refusal does not
+// tell what became of an earlier attempt.
+func (a attempts) response(response control.Response) control.Response {
+	if response.Outcome == control.OutcomeRefused && a.unknown {
+		return control.Response{Outcome: control.OutcomeUnknown, Reason: response.Reason}
+	}
+	return response
+}
+
+// failure returns the response to the caller if no attempt has succeeded. A
+// submission is refused if no attempt can have been executed.
+func (a attempts) failure(method string) control.Response {
+	outcome := control.OutcomeUnavailable
+	switch {
+	case a.unknown:
+		outcome = control.OutcomeUnknown
+	case method == methodSubmit:
+		outcome = control.OutcomeRefused
 	}
-	return lastFailure
+	return control.Response{Outcome: outcome, RetryAfter: noPlannerRetryAfter, Reason: a.reason}
 }
 
 func (e *Server) callPlannerOnce(ctx context.Context, method string, request proto.Message, local func(*control.Planner) control.Response) (control.Response, error) {
