entry: a planner without a path to the store hands over to a named successor

Cause: a planner stayed on an instance that the store had turned away for 1 to 13 s. A planner resigned only in favour of a much larger instance, and its successor waited for larger ones.

Change: handOverState.decide is a pure decision: stay, or resign because of a larger instance (as before), because the path has been impaired for 1 s while relayed calls are answered and another instance announces a good path, or because decisions take more than 150 ms for 3 s and a larger instance is there. For the last two reasons the planner names its successor in the heartbeat value successor 50 ms before it resigns. The successor takes over without delay, the others 0.6 s later than usual. 10 s pass before the next hand-over. An instance that the store does not serve leaves a takeover to those that it serves. A larger instance without a path, or one that drains, is no reason to resign.

--- a/daisylugd/entry/election.go
+++ b/daisylugd/entry/election.go
@@ -28,18 +28,6 @@
 	// electionJitter is the maximum random addition to electionInterval. It
 	// spreads the candidates, so that usually only one tries to take over.
 	electionJitter = 60 * time.Millisecond
-	// rankDelay is the delay before a takeover for each larger connected
-	// instance, of which at most maxRank count.
-	rankDelay = 80 * time.Millisecond
-	maxRank   = 5
-	// smallInstanceDelay is the additional delay of an instance with fewer than
-	// smallInstanceCores cores.
-	smallInstanceDelay = 400 * time.Millisecond
-	smallInstanceCores = 0.3
-	// handOverInterval is the interval at which a planner checks for an instance
-	// with more than handOverFactor times its weight, to which it hands over.
-	handOverInterval = 3 * time.Second
-	handOverFactor   = 1.5
 	// heartbeatTimeout is the time without a heartbeat of the leader after which
 	// its row in the store is checked: a heartbeat interval and the usual delay.
 	heartbeatTimeout = 700 * time.Millisecond
@@ -63,9 +51,12 @@
 	elector := term.New(e.services.Store, e.settings.Name, e.incarnation)
 	var lastLeader term.Leader
 	var unchangedSince, vacantSince time.Time
+	var vacantGeneration uint64
 	failing := false
+	changes, unsubscribe := e.group.Subscribe()
+	defer unsubscribe()
 	for ctx.Err() == nil {
-		sleep(ctx, electionInterval+rand.N(electionJitter))
+		e.waitForCheck(ctx, changes, electionInterval+rand.N(electionJitter))
 		silence, known := e.leaderSilence()
 		if known && silence < heartbeatTimeout || e.draining.Load() {
 			unchangedSince = time.Time{}
@@ -92,10 +83,12 @@
 			vacantSince = time.Time{}
 			continue
 		}
-		if vacantSince.IsZero() {
-			vacantSince = time.Now()
+		// The precedence of a named successor counts from the end of its predecessor's
+		// term, also for an instance that has seen an earlier vacancy.
+		if n, _ := e.succession.get(); vacantSince.IsZero() || n.generation == leader.Generation && vacantGeneration != leader.Generation {
+			vacantSince, vacantGeneration = time.Now(), leader.Generation
 		}
-		if time.Since(vacantSince) < e.takeoverDelay() {
+		if time.Since(vacantSince) < e.takeoverDelay(leader.Generation) {
 			continue
 		}
 		unchangedSince, vacantSince = time.Time{}, time.Time{}
@@ -107,42 +100,19 @@
 	return ctx.Err()
 }
 
-// takeoverDelay returns how long this instance waits for larger ones to take
-// over first.
-func (e *Server) takeoverDelay() time.Duration {
-	delay := time.Duration(min(e.countLargerPeers(1), maxRank)) * rankDelay
-	if e.settings.Cores < smallInstanceCores {
-		delay += smallInstanceDelay
-	}
-	return delay
-}
-
 // countLargerPeers returns the number of connected, live instances with more
-// than factor times the weight of this one.
-func (e *Server) countLargerPeers(factor float64) int {
+// weight than this one.
+func (e *Server) countLargerPeers() int {
 	own := e.group.Self().Weight
 	n := 0
 	for _, p := range e.group.Peers() {
-		if p.Connected && p.Health == member.HealthAlive && float64(p.Instance.Weight) > factor*float64(own) {
+		if p.Connected && p.Health == member.HealthAlive && p.Instance.Weight > own {
 			n++
 		}
 	}
 	return n
 }
 
-// handOverToLarger lets the planner resign once a much larger instance is
-// connected.
-func (e *Server) handOverToLarger(ctx context.Context, p *control.Planner) {
-	for ctx.Err() == nil {
-		sleep(ctx, handOverInterval)
-		if n := e.countLargerPeers(handOverFactor); n > 0 && ctx.Err() == nil {
-			e.log.Info("resigning in favour of a larger instance", "larger", n)
-			p.Resign()
-			return
-		}
-	}
-}
-
 // leaderSilence returns the time since any instance has heard from the leader,
 // and whether a leader is known.
 func (e *Server) leaderSilence() (time.Duration, bool) {
@@ -229,15 +199,16 @@
 	}
 	e.planner.Store(p)
 	defer e.planner.Store(nil)
-	e.group.SetValue(valueGeneration, encodeUint64(t.Generation()))
-	defer e.group.SetValue(valueGeneration, nil)
+	e.group.SetValue(valueSuccessor, nil)
+	e.announceTerm(t.Generation())
+	defer func() { e.endTerm(t.Generation()) }()
 	e.log.Info("planner term started", "generation", t.Generation())
 	if e.draining.Load() {
 		p.Resign()
 	}
 	ctx, cancel = context.WithCancel(ctx)
 	defer cancel()
-	go e.handOverToLarger(ctx, p)
+	go e.considerHandOver(ctx, p, t.Generation())
 	return p.Run(ctx)
 }
 
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -91,6 +91,7 @@
 	// newest.
 	configConfirmedAt atomic.Pointer[uptime.Stamp]
 	evacuations       evacuationView
+	succession        succession
 	seeds             atomic.Pointer[[]string]
 	planner           atomic.Pointer[control.Planner]
 	router            *relay.Router
--- a/scheduler/member/group.go
+++ b/scheduler/member/group.go
@@ -317,6 +317,15 @@
 	g.values[key] = &value{content: slices.Clone(content), deleted: content == nil, version: g.valuesVersion}
 }
 
+// PushValue is SetValue for a value that must not wait for the next heartbeat: it
+// is announced to all peers at once.
+func (g *Group) PushValue(key string, content []byte) {
+	g.SetValue(key, content)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.triggerHeartbeats(func(*peer) bool { return true })
+}
+
 // Value returns the latest application value that a peer has announced.
 func (g *Group) Value(instance, key string) ([]byte, bool) {
 	g.mu.Lock()
