entry: a slow path is noticed also if its first calls could not be hedged

Cause: one answer of 0.7 s instead of 4 ms raised the usual answer time so far that later calls were hedged after 0.73 s only. If no relay answered the first slow calls in time, the path counted as usual for good. A call on a lost connection, with no relay, waited 3.3 s although the store was back.

Change: an answer counts as at most eight times the usual one, hedges are sent after 300 ms at the latest, and up to two more direct copies follow the last way.

TestCallInProgressWhenStoreIsBack fails without the further copies.

--- a/daisylugd/entry/path.go
+++ b/daisylugd/entry/path.go
@@ -52,6 +52,10 @@
 	classMargin = 0.25
 	// usualWeight is the weight of a new answer in the usual answer time.
 	usualWeight = 0.125
+	// maxAnswerFactor is the multiple of the usual answer time as which a slower
+	// answer counts. Otherwise one answer of 0.7 s, instead of 4 ms, would delay
+	// hedges by more than that, and a slow path would count as usual.
+	maxAnswerFactor = 8
 	// hedgeFactor is the multiple of the usual answer time after which a call is sent
 	// a second way.
 	hedgeFactor = 8
@@ -59,6 +63,9 @@
 	// of a small instance is granted anew every 100 ms; a shorter delay would hedge
 	// calls whose answer waits only to be read.
 	minHedgeDelay = 100 * time.Millisecond
+	// maxHedgeDelay is the longest time before a call is hedged. Hedges show whether
+	// only the own path is slow; if all are, the budget bounds them.
+	maxHedgeDelay = 300 * time.Millisecond
 	// maxPathLosses is the number of successive calls that must be answered another
 	// way first before the direct path counts as impaired. A single slow answer does
 	// not suffice.
@@ -171,7 +178,7 @@
 	if usual == 0 {
 		return directTimeout
 	}
-	return min(max(hedgeFactor*usual, minHedgeDelay), directTimeout)
+	return min(max(hedgeFactor*usual, minHedgeDelay), maxHedgeDelay)
 }
 
 // nextClass returns the class for the usual answer time. A class is left only when
@@ -200,6 +207,7 @@
 	if before == 0 {
 		return max(value, 1)
 	}
+	value = min(value, maxAnswerFactor*before)
 	return before + time.Duration(usualWeight*float64(value-before))
 }
 
--- a/daisylugd/entry/storecall.go
+++ b/daisylugd/entry/storecall.go
@@ -67,12 +67,15 @@
 	s.mu.Lock()
 	s.budget = s.budget.withCall()
 	s.mu.Unlock()
-	r := &race{store: s, call: c, results: make(chan wayResult, maxRelays+1), failed: map[int]error{}, hedges: map[int]bool{}}
+	r := &race{store: s, call: c, results: make(chan wayResult, maxRelays+1+len(repeatedWays)), failed: map[int]error{}, hedges: map[int]bool{}}
 	if r.impaired = s.pathHealth().impaired(); r.impaired {
 		r.ways = s.relayWays()
 	}
-	r.complete = len(r.ways) > 0
-	r.ways = append(r.ways, storeWay{})
+	if r.complete = len(r.ways) > 0; r.complete {
+		r.ways = append(append(r.ways, storeWay{}), repeatedWays...)
+	} else {
+		r.ways = []storeWay{{}}
+	}
 	timer := time.NewTimer(r.start(ctx))
 	defer timer.Stop()
 	for {
@@ -134,13 +137,13 @@
 		return
 	}
 	r.complete = true
-	r.ways = append(r.ways, r.store.relayWays()...)
-	if len(r.ways) == 1 {
-		// A second direct call gets through if the first one was lost in an outage.
-		r.ways = append(r.ways, storeWay{onlyAfterTimeout: true})
-	}
+	r.ways = append(append(r.ways, r.store.relayWays()...), repeatedWays...)
 }
 
+// repeatedWays are the last ways of a call: further direct copies, of which one gets
+// through if the connection of the first was lost in an outage.
+var repeatedWays = []storeWay{{onlyAfterTimeout: true}, {onlyAfterTimeout: true}}
+
 // hedgeDelay returns the time, without the wait, after which a call on a way is
 // hedged.
 func (r *race) hedgeDelay(way storeWay) time.Duration {
@@ -209,8 +212,10 @@
 		s.budget = s.budget.withSuccess()
 		s.mu.Unlock()
 	}
+	otherRelays := false
 	for i, w := range r.ways[:r.started] {
 		_, failed := r.failed[i]
+		otherRelays = otherRelays || w.relay != "" && !failed
 		switch {
 		case i >= winner || failed:
 		case w.relay != "":
@@ -219,7 +224,7 @@
 			s.updateHealth(func(h pathHealth) pathHealth { return h.withLoss(time.Now()) }, "error", "no answer")
 		}
 	}
-	if r.ways[winner].relay == "" && r.impaired && len(r.failed) == r.started-1 {
+	if r.ways[winner].relay == "" && r.impaired && !otherRelays {
 		// No other way has worked, so that the direct path is as good as any.
 		s.updateHealth(pathHealth.withRecovery)
 	}
