entry: an instance that was stalled reads an answer before it hedges a call

Cause: after a stall of the process, of which instances with a small processor share have many, the timer of a hedge and the answer are due at the same time, and either may be taken first. A hedge then costs a call although no path is harmed.

Change: a timer that is more than 10 ms late is set once more for 10 ms.

No test covers the change, and its effect was not measured.

--- a/daisylugd/entry/storecall.go
+++ b/daisylugd/entry/storecall.go
@@ -39,6 +39,10 @@
 	err   error
 }
 
+// stallGrace is how late a timer must be for the process to count as stalled, and
+// how long it then gets to read an answer that is there.
+const stallGrace = 10 * time.Millisecond
+
 // race is a call in progress on one or more ways.
 type race struct {
 	store *RelayingStore
@@ -76,8 +80,14 @@
 	} else {
 		r.ways = []storeWay{{}}
 	}
-	timer := time.NewTimer(r.start(ctx))
+	delay := r.start(ctx)
+	due, stalled := time.Now().Add(delay), false
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
+	reset := func(d time.Duration) {
+		due = time.Now().Add(d)
+		timer.Reset(d)
+	}
 	for {
 		select {
 		case result := <-r.results:
@@ -90,12 +100,19 @@
 			next := r.started < len(r.ways) && !r.ways[r.started].onlyAfterTimeout
 			switch {
 			case next && ctx.Err() == nil:
-				timer.Reset(r.start(ctx))
+				reset(r.start(ctx))
 			case len(r.failed) == r.started:
 				return platform.Page{}, r.failure(nil)
 			}
 		case <-timer.C:
-			timer.Reset(r.startLate(ctx))
+			if late := time.Since(due); late > stallGrace && !stalled {
+				// The process was stalled, and the answer may be there already.
+				stalled = true
+				reset(stallGrace)
+				continue
+			}
+			stalled = false
+			reset(r.startLate(ctx))
 		case <-ctx.Done():
 			if parent.Err() == nil {
 				return platform.Page{}, r.failure(context.DeadlineExceeded)
