assignment, control: the cost of a stop comes from the settings, and stops must be of use

The loss by a stop was taken as 1 s of unsaved work and 1.2 s to restart on every deployment.

Change: the optional settings bounds.checkpoint_interval_s and bounds.restore_ms give the cost, with the time since the checkpoint that the worker reported last. Where one of them is set, runs that are being stopped already count as room, a job is stopped a second time only if no other plan exists on the same workers, and a guaranteed group that will be late anyway and has started before first waits up to 1 s for room. The first start under a guarantee is never delayed. Without the fields decisions are as before. Stops are counted by reason, with those that a job did not need and those of jobs that were in time.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -120,7 +120,13 @@
 	LostWork float64
 	// EndsSoon is set if the run is expected to end about as soon as it could
 	// be stopped.
-	EndsSoon    bool
+	EndsSoon bool
+	// Stopping is set if the run is being stopped already.
+	Stopping bool
+	// StoppedBefore is set if a run of the job was stopped before.
+	StoppedBefore bool
+	// ExpectedEnd is when the run is expected to end by itself, or zero.
+	ExpectedEnd time.Time
 	Allocations []Allocation
 }
 
@@ -140,6 +146,8 @@
 	// Reserve is the number of accelerators to keep free for expected urgent
 	// work.
 	Reserve int64
+	// Stopping limits which runs are stopped.
+	Stopping StopPolicy
 }
 
 // Reservation keeps capacity on workers for a group until the runs that use it
@@ -153,8 +161,10 @@
 // Decision lists the runs to start and to stop. Stops are positions in
 // View.Running.
 type Decision struct {
-	Starts       []Start
-	Stops        []int
+	Starts []Start
+	Stops  []int
+	// StopCauses has an entry for each stop.
+	StopCauses   []StopCause
 	Reservations []Reservation
 }
 
@@ -194,7 +204,10 @@
 	freeByRack []int64
 	candidates []candidate
 	// victims caches, by scope and worker, the runs that may be stopped.
-	victims map[victimScope]map[int][]int
+	victims map[victimKey]map[int][]int
+	// sparesStopped excludes the runs of jobs that were stopped before from the
+	// victims.
+	sparesStopped bool
 	// blockedReservations counts the blocked gangs for which capacity is reserved.
 	blockedReservations int
 	result              Decision
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -22,7 +22,7 @@
 // that ends soon always may.
 func (v victimScope) allows(r *Running) bool {
 	switch {
-	case r.EndsSoon || v == victimsAny:
+	case r.endsUnstopped() || v == victimsAny:
 		return true
 	case v == victimsLowerPriority:
 		return r.Borrowed && r.Priority > 0
@@ -38,28 +38,35 @@
 		d.reserveSlots(g, g.ReservedWorkers)
 		return
 	}
+	if d.waitsInsteadOfStopping(g) {
+		d.reserveForBlocked(g)
+		return
+	}
 	if d.view.Now.Sub(g.ReadySince) >= runEndTimeout {
 		d.ignoreExpectedEnds()
 	}
+	reason := StopForGuarantee
 	best := d.plan(g, d.accepting, victimsBorrowed)
 	if best == nil && g.NeverStarted {
 		// Running guaranteed work is fragmented so that the group fits nowhere,
 		// so some of it is preempted too. Only a job that has never started may
 		// do that, so that two jobs cannot preempt each other in turn.
-		best = d.plan(g, d.accepting, victimsAny)
+		best, reason = d.plan(g, d.accepting, victimsAny), StopForFragmentation
 	}
 	if best != nil {
-		d.applyPlan(position, best)
+		d.applyPlan(position, best, reason)
 	}
 }
 
 // applyPlan stops the victims of a plan, unless they end soon, and reserves its
 // slots for the group.
-func (d *decider) applyPlan(position int, p *plan) {
+func (d *decider) applyPlan(position int, p *plan, reason StopReason) {
+	cause := StopCause{Group: position, Reason: reason, Unneeded: d.meetsObjectiveUnstopped(&d.view.Groups[position], p)}
 	for _, v := range p.victims {
 		r := &d.view.Running[v]
-		if !r.EndsSoon {
+		if !r.endsUnstopped() {
 			d.result.Stops = append(d.result.Stops, v)
+			d.result.StopCauses = append(d.result.StopCauses, cause)
 		}
 		r.Borrowed, r.EndsSoon = false, false
 	}
@@ -74,12 +81,16 @@
 	if p := d.compactPlan(g, in, scope); p != nil {
 		return p
 	}
-	return d.evictionPlan(g, in.workers, scope)
+	return d.sparingPlan(func() *plan { return d.evictionPlan(g, in.workers, scope) })
 }
 
 // compactPlan is like plan but considers only the preferred workers: the rack of
 // the group's data, any one rack for an adjacent gang, or else all workers.
 func (d *decider) compactPlan(g *Group, in pool, scope victimScope) *plan {
+	return d.sparingPlan(func() *plan { return d.compactPlanWithin(g, in, scope) })
+}
+
+func (d *decider) compactPlanWithin(g *Group, in pool, scope victimScope) *plan {
 	if g.Rack != "" {
 		return d.evictionPlan(g, d.workersOnRack(in, g.Rack), scope)
 	}
@@ -184,7 +195,7 @@
 			}
 		}
 		chosen = append(chosen, i)
-		if !r.EndsSoon {
+		if !r.endsUnstopped() {
 			loss += r.LostWork
 		}
 		if g.Need.Fits(free) {
@@ -199,13 +210,14 @@
 // then by lost work.
 func (d *decider) victimCandidates(worker int, scope victimScope) []int {
 	if d.victims == nil {
-		d.victims = map[victimScope]map[int][]int{}
+		d.victims = map[victimKey]map[int][]int{}
 	}
-	byWorker := d.victims[scope]
+	key := victimKey{scope, d.sparesStopped}
+	byWorker := d.victims[key]
 	if byWorker == nil {
 		byWorker = map[int][]int{}
 		for i := range d.view.Running {
-			if !scope.allows(&d.view.Running[i]) {
+			if !key.allows(&d.view.Running[i]) {
 				continue
 			}
 			for _, allocation := range d.view.Running[i].Allocations {
@@ -218,14 +230,14 @@
 			slices.SortStableFunc(runs, func(a, b int) int {
 				x, y := &d.view.Running[a], &d.view.Running[b]
 				return cmp.Or(
-					-compareBool(x.EndsSoon, y.EndsSoon),
+					-compareBool(x.endsUnstopped(), y.endsUnstopped()),
 					-compareBool(x.Borrowed, y.Borrowed),
 					compareBool(x.Priority == 0, y.Priority == 0),
 					cmp.Compare(x.LostWork, y.LostWork),
 				)
 			})
 		}
-		d.victims[scope] = byWorker
+		d.victims[key] = byWorker
 	}
 	return byWorker[worker]
 }
--- a/scheduler/assignment/urgency.go
+++ b/scheduler/assignment/urgency.go
@@ -36,12 +36,12 @@
 	if d.view.Now.Sub(g.ReadySince) >= preemptionWindow {
 		return nil, false
 	}
-	fastAfterStop := d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, stopDelay) })
+	fastAfterStop := d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, d.view.Stopping.delay()) })
 	p := d.compactPlan(g, fastAfterStop, victimsLowerPriority)
 	if p == nil || p.loss > g.expectedWork() {
 		return nil, false
 	}
-	d.applyPlan(position, p)
+	d.applyPlan(position, p, StopForObjective)
 	return nil, true
 }
 
--- a/scheduler/control/command.go
+++ b/scheduler/control/command.go
@@ -195,7 +195,7 @@
 			return
 		}
 	}
-	pl.phase = phaseStopping
+	pl.phase, pl.stoppedAt = phaseStopping, time.Now()
 	pl.respondedAt = time.Time{}
 	p.group.Go(func() error {
 		p.stopUntilAnswered(pl)
@@ -207,7 +207,7 @@
 func (p *Planner) stopGang(pl *placement) {
 	for _, m := range p.gangMembers(pl) {
 		if m != pl {
-			p.stop(m)
+			p.stopFor(m, stopForGang)
 		}
 	}
 }
@@ -220,7 +220,7 @@
 	for _, w := range p.workers {
 		for _, pl := range w.placements {
 			if pl.job == j {
-				p.stop(pl)
+				p.stopFor(pl, stopForEndedJob)
 			}
 		}
 	}
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -67,13 +67,7 @@
 	start := time.Now()
 	v := p.buildView(now)
 	d := assignment.Decide(v.input)
-	for _, i := range d.Stops {
-		for _, pl := range v.runs[i] {
-			p.Log.Info("preempting run for urgent work", "task", pl.id, "run", pl.run, "worker", pl.worker.info.ID,
-				"loss", v.input.Running[i].LostWork)
-			p.stop(pl)
-		}
-	}
+	p.applyStops(v, d, now)
 	for _, r := range d.Reservations {
 		s := reservation{expiresAt: now.Add(reservationTime)}
 		for _, w := range r.Workers {
@@ -106,6 +100,7 @@
 		})
 	}
 	v.input.Reserve = p.demand.reserve(p.urgentAccelerators())
+	v.input.Stopping = p.Timing.stopPolicy()
 	live := p.liveByAcceptance()
 	covered := p.coveredJobs(live)
 	for _, j := range live {
@@ -220,15 +215,11 @@
 func (p *Planner) newGroup(v *decisionView, j *job, occurrence, step int, due time.Time) assignment.Group {
 	s := &j.spec.Steps[step]
 	length := p.criticalPath(j, step)
-	longest := time.Duration(0)
-	for i := range j.spec.Steps {
-		longest = max(longest, p.criticalPath(j, i))
-	}
 	g := assignment.Group{
 		Job: j.spec.ID, Occurrence: occurrence, Step: step,
 		Need: s.AllocatedResources(), Gang: s.Gang, Adjacent: s.Adjacent, Label: s.Label, Rack: s.Rack, MaxPerWorker: s.MaxPerWorker,
 		Service: p.service(j), Priority: j.queue.Priority, Accepted: due, ExpectedDuration: length,
-		Objective: due.Add(time.Duration(j.queue.Stretch*float64(longest)) + j.queue.Target),
+		Objective: p.objective(j, due),
 	}
 	if s.MaxPerWorker > 0 {
 		g.RunningPerWorker = p.tasksPerWorker(j, occurrence, step)
@@ -279,15 +270,17 @@
 		job              *job
 		occurrence, step int
 		index            int
+		stopping         bool
 	}
 	indexes := map[key]int{}
 	budget := p.newDisruptionBudget()
 	for i, w := range v.workers {
 		for _, pl := range w.placements {
-			if pl.phase != phaseStarting && pl.phase != phaseRunning || !budget.consume(pl) {
+			stopping := p.endsByStop(pl, now)
+			if !stopping && (pl.phase != phaseStarting && pl.phase != phaseRunning || !budget.consume(pl)) {
 				continue
 			}
-			k := key{pl.job, pl.id.Occurrence, pl.id.Step, pl.id.Index}
+			k := key{pl.job, pl.id.Occurrence, pl.id.Step, pl.id.Index, stopping}
 			if pl.step.Gang {
 				k.index = 0
 			}
@@ -298,47 +291,24 @@
 				v.runs = append(v.runs, nil)
 				v.input.Running = append(v.input.Running, assignment.Running{
 					Job: pl.job.spec.ID, Priority: pl.job.queue.Priority, Borrowed: !covered[pl.job],
+					Stopping: stopping, StoppedBefore: pl.job.stoppedRuns > 0,
 				})
 			}
 			v.runs[n] = append(v.runs[n], pl)
 			r := &v.input.Running[n]
 			r.Allocations = append(r.Allocations, assignment.Allocation{Worker: i, Need: pl.step.AllocatedResources()})
-			r.LostWork += pl.lostWork(now)
+			if stopping {
+				continue
+			}
+			r.LostWork += p.lostWork(pl, now)
 			r.EndsSoon = p.endsSoon(pl, now)
+			if end := p.expectedEnd(pl, now); end.After(r.ExpectedEnd) {
+				r.ExpectedEnd = end
+			}
 		}
 	}
 }
 
-// endsSoon reports whether a run will end by itself about as soon as it could
-// be stopped.
-func (p *Planner) endsSoon(pl *placement, now time.Time) bool {
-	const (
-		minProgress = 0.5
-		// maxOverrun is how long after its expected end a run still counts as
-		// about to end.
-		maxOverrun = 300 * time.Millisecond
-	)
-	remaining := p.remainingTime(pl, now)
-	return pl.sampledProgress > minProgress && remaining > -maxOverrun && remaining <= p.Timing.StopTimeout
-}
-
-const (
-	// maxUnsavedTime is the longest time between two checkpoints of a run.
-	maxUnsavedTime = 1 * time.Second
-	// restartTime is the usual time from stopping a run until its work
-	// continues elsewhere: the time to stop it and to restore it.
-	restartTime = 1200 * time.Millisecond
-)
-
-// lostWork returns the work that stopping the run would lose, in core-seconds.
-func (pl *placement) lostWork(now time.Time) float64 {
-	lost := pl.runTime(now)
-	if pl.step.Checkpoints {
-		lost = min(lost, maxUnsavedTime)
-	}
-	return (lost + restartTime).Seconds() * pl.step.Need.Cores()
-}
-
 // applyStarts creates the placements and starts the runs once they are stored.
 func (p *Planner) applyStarts(v *decisionView, starts []assignment.Start) {
 	for _, s := range starts {
--- a/scheduler/control/end.go
+++ b/scheduler/control/end.go
@@ -92,7 +92,7 @@
 		}
 		if pl := w.placements[id]; pl != nil {
 			p.Log.Info("stopping redundant run, work is done", "task", id, "run", pl.run, "worker", w.info.ID)
-			p.stop(pl)
+			p.stopFor(pl, stopForDoneWork)
 		}
 	}
 }
--- a/scheduler/control/evacuation.go
+++ b/scheduler/control/evacuation.go
@@ -171,7 +171,7 @@
 			p.Log.Info("moving run from an evacuated data centre", "task", members[0].id, "run", members[0].run, "datacentre", name,
 				"remaining", r.Remaining, "elsewhere", r.Elsewhere)
 			for _, m := range members {
-				p.stop(m)
+				p.stopFor(m, stopForEvacuation)
 			}
 			return
 		}
@@ -192,7 +192,7 @@
 		r.Remaining = max(r.Remaining, p.remainingTime(m, now))
 		slowest = min(slowest, p.currentSpeed(m.worker, now))
 	}
-	r.Elsewhere = restartTime + maxUnsavedTime + time.Duration(float64(r.Remaining)*slowest)
+	r.Elsewhere = p.Timing.restartTime() + p.Timing.unsavedTime() + time.Duration(float64(r.Remaining)*slowest)
 	if r.Resumable && r.Remaining > r.Elsewhere {
 		service := p.service(pl.job)
 		if _, ok := spare[service]; !ok {
--- a/scheduler/control/instruments.go
+++ b/scheduler/control/instruments.go
@@ -33,6 +33,22 @@
 	m.set.GetOrCreateCounter(`daisylug_planner_ends_total{queue="` + queue + `",how="` + outcome + `"}`).Inc()
 }
 
+// countStop counts a run that is stopped, and whether its job was expected to meet
+// its objective without that.
+func (m *instruments) countStop(reason stopReason, timely bool) {
+	label := `{reason="` + string(reason) + `"}`
+	m.set.GetOrCreateCounter("daisylug_planner_stops_total" + label).Inc()
+	if timely {
+		m.set.GetOrCreateCounter("daisylug_planner_stops_of_timely_jobs_total" + label).Inc()
+	}
+}
+
+// countUnneededStop counts a run that is stopped for a job that was expected to
+// meet its objective without that.
+func (m *instruments) countUnneededStop(reason stopReason) {
+	m.set.GetOrCreateCounter(`daisylug_planner_unneeded_stops_total{reason="` + string(reason) + `"}`).Inc()
+}
+
 // waitTime returns the histogram of the time from acceptance to the first
 // start.
 func (m *instruments) waitTime(team string) *metrics.Histogram {
--- a/scheduler/control/leaving.go
+++ b/scheduler/control/leaving.go
@@ -25,7 +25,7 @@
 		}
 		p.Log.Info("moving run from a leaving worker", "task", pl.id, "run", pl.run, "worker", w.info.ID,
 			"left", remaining, "remaining", w.info.Remaining)
-		p.stop(pl)
+		p.stopFor(pl, stopForLeaving)
 		if pl.step.Gang {
 			p.stopGang(pl)
 		}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -38,6 +38,10 @@
 	Lease time.Duration
 	// StopTimeout is the longest time that stopping a run takes.
 	StopTimeout time.Duration
+	// CheckpointInterval is the longest time between two checkpoints of a run, and
+	// RestoreTime the time to resume from one. 0 means that they are unknown.
+	CheckpointInterval time.Duration
+	RestoreTime        time.Duration
 	// Heartbeat is the interval between two heartbeats of a worker.
 	Heartbeat time.Duration
 	// Retention is how long the state of an ended job stays readable.
@@ -146,6 +150,9 @@
 	// placementCount is the number of the job's placements.
 	placementCount int
 	started        bool
+	// stoppedRuns is the number of runs that this planner stopped and whose work
+	// had to be resumed.
+	stoppedRuns int
 	// readySince is when the waiting tasks of a step became ready to start.
 	readySince map[stepRef]time.Time
 	// reservations are the workers reserved for a step while runs on them are
--- a/scheduler/control/report.go
+++ b/scheduler/control/report.go
@@ -79,14 +79,12 @@
 	pl.missedPolls = 0
 	pl.reportedProgress, pl.tailLatency = r.Progress, r.TailLatency
 	p.sampleSpeed(pl, r.Progress, now)
-	if r.Checkpoint != "" {
-		pl.checkpoint = r.Checkpoint
-	}
+	pl.recordCheckpoint(r.Checkpoint, p.Timing.unsavedTime(), now)
 	if pl.phase == phaseStarting || pl.phase == phaseInherited {
 		p.confirmRun(pl, now)
 	}
 	if pl.job.progress.State.Final() && pl.job.visibleState.Final() {
-		p.stop(pl)
+		p.stopFor(pl, stopForEndedJob)
 	}
 }
 
--- /dev/null
+++ b/scheduler/control/stopping.go
@@ -0,0 +1,165 @@
+package control
+
+import (
+	"time"
+
+	"daisylug.example/scheduler/assignment"
+)
+
+const (
+	// maxUnsavedTime is the longest time between two checkpoints of a run where the
+	// deployment does not state it.
+	maxUnsavedTime = 1 * time.Second
+	// defaultRestartTime is the usual time from stopping a run until its work
+	// continues elsewhere, the time to stop it and to restore it, where the
+	// deployment does not state them.
+	defaultRestartTime = 1200 * time.Millisecond
+	// maxOverrun is how long after its expected end a run still counts as about to
+	// end.
+	maxOverrun = 300 * time.Millisecond
+)
+
+// statesStopCost reports whether the deployment states what a stop costs.
+func (t Timing) statesStopCost() bool { return t.CheckpointInterval > 0 || t.RestoreTime > 0 }
+
+// unsavedTime returns the longest time for which the work of a run may be unsaved.
+func (t Timing) unsavedTime() time.Duration {
+	if t.CheckpointInterval > 0 {
+		return t.CheckpointInterval
+	}
+	return maxUnsavedTime
+}
+
+// restartTime returns the time from stopping a run until its work continues
+// elsewhere.
+func (t Timing) restartTime() time.Duration {
+	if t.RestoreTime > 0 {
+		return t.StopTimeout + t.RestoreTime
+	}
+	return defaultRestartTime
+}
+
+// stopPolicy returns which runs may be stopped. Where the deployment states the
+// cost of a stop, a stop must also be of use.
+func (t Timing) stopPolicy() assignment.StopPolicy {
+	if !t.statesStopCost() {
+		return assignment.StopPolicy{}
+	}
+	return assignment.StopPolicy{Sparing: true, Delay: t.StopTimeout}
+}
+
+// stopReason is why a run is stopped, as counted: an assignment.StopReason or one
+// of the following.
+type stopReason string
+
+const (
+	stopForEvacuation stopReason = "evacuation"
+	stopForLeaving    stopReason = "leaving"
+	// stopForGang means that another member of the gang has ended.
+	stopForGang stopReason = "gang"
+	// stopForEndedJob means that the job has ended, stopForDoneWork that an earlier
+	// run has done the work.
+	stopForEndedJob stopReason = "ended"
+	stopForDoneWork stopReason = "done"
+)
+
+// resumes reports whether the work of a run stopped for the reason is resumed.
+func (r stopReason) resumes() bool { return r != stopForEndedJob && r != stopForDoneWork }
+
+// stopFor stops a run and counts that. The caller holds the lock.
+func (p *Planner) stopFor(pl *placement, reason stopReason) {
+	if pl.phase == phaseInherited || pl.phase == phaseRunning || pl.phase == phaseStarting && pl.sent {
+		now := time.Now()
+		p.instruments.countStop(reason, reason.resumes() && p.endsInTime(pl, now))
+		if reason.resumes() {
+			pl.job.stoppedRuns++
+		}
+	}
+	p.stop(pl)
+}
+
+// applyStops stops the runs of a decision. The caller holds the lock.
+func (p *Planner) applyStops(v *decisionView, d assignment.Decision, now time.Time) {
+	for n, i := range d.Stops {
+		cause := d.StopCauses[n]
+		reason := stopReason(cause.Reason)
+		for _, pl := range v.runs[i] {
+			p.Log.Info("preempting run for urgent work", "task", pl.id, "run", pl.run, "worker", pl.worker.info.ID,
+				"loss", v.input.Running[i].LostWork, "reason", reason, "for", v.input.Groups[cause.Group].Job,
+				"stoppedbefore", v.input.Running[i].StoppedBefore, "timely", p.endsInTime(pl, now), "unneeded", cause.Unneeded)
+			if cause.Unneeded {
+				p.instruments.countUnneededStop(reason)
+			}
+			p.stopFor(pl, reason)
+		}
+	}
+}
+
+// objective returns the time by which an occurrence of a job that is due at the
+// given time must be done to count in full.
+func (p *Planner) objective(j *job, due time.Time) time.Time {
+	longest := time.Duration(0)
+	for i := range j.spec.Steps {
+		longest = max(longest, p.criticalPath(j, i))
+	}
+	return due.Add(time.Duration(j.queue.Stretch*float64(longest)) + j.queue.Target)
+}
+
+// endsInTime reports whether the job is expected to meet its objective as far as
+// that depends on the run. The caller holds the lock.
+func (p *Planner) endsInTime(pl *placement, now time.Time) bool {
+	j := pl.job
+	after := p.criticalPath(j, pl.id.Step) - p.estimator.Estimate(j.estimationJob(pl.step)).Median
+	return !p.expectedEnd(pl, now).Add(after).After(p.objective(j, j.spec.Due(pl.id.Occurrence)))
+}
+
+// expectedEnd returns when the run is expected to end by itself. A run that is
+// overdue is expected to take as long again as it has taken.
+func (p *Planner) expectedEnd(pl *placement, now time.Time) time.Time {
+	remaining := p.remainingTime(pl, now)
+	if remaining < -maxOverrun {
+		remaining = pl.runTime(now)
+	}
+	return now.Add(max(remaining, 0))
+}
+
+// endsByStop reports whether the run is being stopped and its resources are about
+// to become free. A stop that takes longer than capacity is reserved for does not
+// count, since the worker may not respond.
+func (p *Planner) endsByStop(pl *placement, now time.Time) bool {
+	return p.Timing.statesStopCost() && pl.phase == phaseStopping && now.Sub(pl.stoppedAt) < reservationTime
+}
+
+// endsSoon reports whether a run will end by itself about as soon as it could
+// be stopped.
+func (p *Planner) endsSoon(pl *placement, now time.Time) bool {
+	const minProgress = 0.5
+	remaining := p.remainingTime(pl, now)
+	return pl.sampledProgress > minProgress && remaining > -maxOverrun && remaining <= p.Timing.StopTimeout
+}
+
+// lostWork returns the work that stopping the run would lose, in core-seconds.
+func (p *Planner) lostWork(pl *placement, now time.Time) float64 {
+	lost := pl.runTime(now)
+	if pl.step.Checkpoints {
+		lost = min(lost, p.Timing.unsavedTime())
+		if p.Timing.CheckpointInterval > 0 && !pl.checkpointAt.IsZero() {
+			lost = min(lost, now.Sub(pl.checkpointAt))
+		}
+	}
+	return (lost + p.Timing.restartTime()).Seconds() * pl.step.Need.Cores()
+}
+
+// recordCheckpoint records the checkpoint in a report of the run. A new one was
+// saved since the report before, or within the latest interval between two
+// checkpoints if that is shorter; the middle of that time is assumed.
+func (pl *placement) recordCheckpoint(name string, interval time.Duration, now time.Time) {
+	if name != "" && name != pl.checkpoint {
+		window := interval
+		if !pl.reportedAt.IsZero() {
+			window = min(window, now.Sub(pl.reportedAt))
+		}
+		pl.checkpoint, pl.checkpointAt = name, now.Add(-window/2)
+	}
+	pl.reportedAt = now
+}
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -101,6 +101,12 @@
 	// reportedProgress is the progress that the worker reported last.
 	reportedProgress float64
 	checkpoint       string
+	// checkpointAt is when the checkpoint was saved, as far as reports tell, or
+	// zero. reportedAt is when the run was last reported.
+	checkpointAt time.Time
+	reportedAt   time.Time
+	// stoppedAt is when the run was ordered to stop.
+	stoppedAt time.Time
 	// ticket is the adviser's ticket, or empty.
 	ticket string
 	// respondedAt is when the latest command was answered. A poll that started
