control, assignment: reserve whole workers for urgent gangs, and nothing for late work

Cause: the reserve counted the backlog of urgent jobs that were late already. It rose to 1,255 of 2,800 accelerators after a burst and withheld them from all other work. As a number of accelerators it also does not give urgent gangs what they need, whole fast workers of one rack.

Change: an urgent job whose objective has passed, or which runs and will miss it, is no demand (a correction, on every deployment). Where the settings state the cost of a stop, adjacent gangs are counted in workers: as many as nine in ten of the latest samples needed, in blocks of the largest gang, of the speed that they needed, are kept free of less urgent work, up to half of the workers of a service. The demand is sampled by decisions, once for each tick, since these recover from panics.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -146,6 +146,8 @@
 	// Reserve is the number of accelerators to keep free for expected urgent
 	// work.
 	Reserve int64
+	// ReservedShapes is room to keep for expected urgent gangs.
+	ReservedShapes []ReservedShape
 	// Stopping limits which runs are stopped.
 	Stopping StopPolicy
 }
@@ -181,6 +183,7 @@
 	d.indexRacks()
 	d.accepting = d.pool(func(*Worker) bool { return true })
 	d.reserve = d.cappedReserve()
+	d.reserveShapes()
 	order := rank(v)
 	for _, g := range order {
 		d.placeGroup(g)
@@ -196,6 +199,11 @@
 	accepting pool
 	// reserve is the number of accelerators that less urgent work must leave free.
 	reserve int64
+	// reservedWorkers marks the workers that less urgent work must leave free; nil
+	// if there are none.
+	reservedWorkers []bool
+	// sparesReserved is set while a group is placed that must leave them free.
+	sparesReserved bool
 	// rackIndex is the index of each rack by name, workerRack the index of each
 	// worker's rack.
 	rackIndex  map[string]int
@@ -267,6 +275,7 @@
 	if g.Priority > 0 && !d.leavesReserve(g) {
 		return
 	}
+	d.sparesReserved = d.keepsReserved(g)
 	slots, waiting := d.chooseWorkers(position)
 	if slots == nil {
 		switch {
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -160,6 +160,9 @@
 	candidates := d.candidates[:0]
 	total := 0
 	for _, i := range workers {
+		if d.sparesReserved && d.reservedWorkers[i] {
+			continue
+		}
 		if n := d.slots(g, i, d.free[i]); n > 0 {
 			candidates = append(candidates, candidate{worker: i, slots: n})
 			total += n
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -99,7 +99,7 @@
 			Trust: p.workerTrust(w, now),
 		})
 	}
-	v.input.Reserve = p.demand.reserve(p.urgentAccelerators())
+	p.setReserve(v, now)
 	v.input.Stopping = p.Timing.stopPolicy()
 	live := p.liveByAcceptance()
 	covered := p.coveredJobs(live)
--- a/scheduler/control/demand.go
+++ b/scheduler/control/demand.go
@@ -1,6 +1,14 @@
 package control
 
-import "slices"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"daisylug.example/scheduler/assignment"
+	"daisylug.example/scheduler/batch"
+)
 
 const (
 	// maxDemandSamples is the number of samples of urgent demand that are kept,
@@ -9,42 +17,227 @@
 	// demandQuantile is the quantile of urgent demand for which capacity is
 	// reserved.
 	demandQuantile = 0.9
+	// reserveLogInterval is the shortest time between two log lines about the
+	// reserved workers.
+	reserveLogInterval = 1 * time.Second
 )
 
-// demand tracks how many accelerators urgent work needed recently.
+// demand tracks what urgent work needed recently.
 type demand struct {
-	samples []int64
-	next    int
-	// quantile is the demand that the share demandQuantile of the samples does
-	// not exceed.
-	quantile int64
+	// accelerators are those of urgent work that is not covered by gangs.
+	accelerators samples[int64]
+	// gangs is what urgent gangs needed, by service.
+	gangs map[string]*gangDemand
+	// dueSamples is the number of ticks since the latest decision. Only decisions
+	// take samples, because they recover from panics.
+	dueSamples int
+	// loggedWorkers is the number of reserved workers that was last logged.
+	loggedWorkers int
+	loggedAt      time.Time
+}
+
+// gangDemand tracks what the urgent gangs of a service needed recently.
+type gangDemand struct {
+	workers samples[int]
+	// largest are the workers of the largest gang, and speeds the highest speed that
+	// a gang needed, at the ticks with any gang.
+	largest samples[int]
+	speeds  samples[float64]
+}
+
+// samples keeps the latest samples of a value.
+type samples[T cmp.Ordered] struct {
+	recent []T
+	next   int
+	// quantile is the value that the share demandQuantile of the samples does not
+	// exceed.
+	quantile T
 }
 
-// add records the demand at one tick.
-func (d *demand) add(n int64) {
-	if len(d.samples) < maxDemandSamples {
-		d.samples = append(d.samples, n)
+// add records the value at one tick.
+func (s *samples[T]) add(v T) {
+	if len(s.recent) < maxDemandSamples {
+		s.recent = append(s.recent, v)
 	} else {
-		d.samples[d.next] = n
-		d.next = (d.next + 1) % maxDemandSamples
+		s.recent[s.next] = v
+		s.next = (s.next + 1) % maxDemandSamples
 	}
-	sorted := slices.Clone(d.samples)
+	sorted := slices.Clone(s.recent)
 	slices.Sort(sorted)
-	d.quantile = sorted[int(demandQuantile*float64(len(sorted)-1))]
+	s.quantile = sorted[int(demandQuantile*float64(len(sorted)-1))]
+}
+
+// urgentNeed is what urgent work needs at one time.
+type urgentNeed struct {
+	accelerators int64
+	gangs        map[string]gangNeed
+}
+
+// gangNeed is what the urgent gangs of a service need: the workers of all and of
+// the largest gang, and the highest speed.
+type gangNeed struct {
+	workers, largest int
+	speed            float64
+}
+
+// add records the need at one tick.
+func (d *demand) add(n urgentNeed) {
+	d.accelerators.add(n.accelerators)
+	for service, g := range n.gangs {
+		if d.gangs == nil {
+			d.gangs = map[string]*gangDemand{}
+		}
+		if d.gangs[service] == nil {
+			d.gangs[service] = &gangDemand{}
+		}
+		d.gangs[service].largest.add(g.largest)
+		d.gangs[service].speeds.add(g.speed)
+	}
+	for service, g := range d.gangs {
+		g.workers.add(n.gangs[service].workers)
+	}
 }
 
 // reserve returns how many accelerators to keep free for urgent work in addition
-// to the current demand.
-func (d *demand) reserve(current int64) int64 { return max(d.quantile-current, 0) }
+// to the current need.
+func (d *demand) reserve(current urgentNeed) int64 {
+	return max(d.accelerators.quantile-current.accelerators, 0)
+}
+
+// shapes returns which workers to keep free for urgent gangs in addition to the
+// current need.
+func (d *demand) shapes(current urgentNeed) []assignment.ReservedShape {
+	var all []assignment.ReservedShape
+	for _, service := range slices.Sorted(maps.Keys(d.gangs)) {
+		g := d.gangs[service]
+		if n := g.workers.quantile - current.gangs[service].workers; n > 0 {
+			all = append(all, assignment.ReservedShape{Service: service, Workers: n, Block: g.largest.quantile, MinSpeed: g.speeds.quantile})
+		}
+	}
+	return all
+}
+
+// setReserve sets the room that the decision keeps for urgent work. The caller
+// holds the lock.
+func (p *Planner) setReserve(v *decisionView, now time.Time) {
+	current := p.urgentNeed(now)
+	for range min(p.demand.dueSamples, maxDemandSamples) {
+		p.demand.add(current)
+	}
+	p.demand.dueSamples = 0
+	v.input.Reserve, v.input.ReservedShapes = p.demand.reserve(current), p.demand.shapes(current)
+	workers := 0
+	for _, s := range v.input.ReservedShapes {
+		workers += s.Workers
+	}
+	p.instruments.reservedAccelerators.Set(float64(v.input.Reserve))
+	p.instruments.reservedWorkers.Set(float64(workers))
+	if workers != p.demand.loggedWorkers && now.Sub(p.demand.loggedAt) >= reserveLogInterval {
+		p.demand.loggedWorkers, p.demand.loggedAt = workers, now
+		p.Log.Info("workers reserved for urgent gangs changed", "workers", workers, "shapes", v.input.ReservedShapes, "accelerators", v.input.Reserve)
+	}
+}
 
-// urgentAccelerators returns the number of accelerators that the unfinished
-// jobs of priority 0 need, except recurring ones.
-func (p *Planner) urgentAccelerators() int64 {
-	n := int64(0)
+// urgentNeed returns what the unfinished jobs of priority 0 need for which room is
+// kept, except recurring ones. Where the deployment states the cost of a stop,
+// adjacent gangs need workers of one rack rather than any accelerators. The caller
+// holds the lock.
+func (p *Planner) urgentNeed(now time.Time) urgentNeed {
+	n := urgentNeed{gangs: map[string]gangNeed{}}
+	capacity := map[string]batch.Resources{}
 	for _, j := range p.live {
-		if j.queue.Priority == 0 && j.spec.Occurrences == 0 {
-			n += j.peakAccelerators()
+		if j.queue.Priority != 0 || j.spec.Occurrences != 0 || !p.needsRoom(j, now) {
+			continue
+		}
+		service := p.service(j)
+		if _, ok := capacity[service]; !ok {
+			capacity[service] = p.largestWorker(service)
 		}
+		workers := 0
+		if p.Timing.statesStopCost() {
+			workers = j.gangWorkers(capacity[service])
+		}
+		if workers == 0 {
+			n.accelerators += j.peakAccelerators()
+			continue
+		}
+		g := n.gangs[service]
+		g.workers += workers
+		g.largest = max(g.largest, workers)
+		g.speed = max(g.speed, p.neededSpeed(j))
+		n.gangs[service] = g
 	}
 	return n
 }
+
+// needsRoom reports whether room kept for an urgent job could still serve its
+// objective: the objective has not passed, and no run of the job is in progress
+// that will miss it. The caller holds the lock.
+func (p *Planner) needsRoom(j *job, now time.Time) bool {
+	if now.After(p.objective(j, j.spec.Due(0))) {
+		return false
+	}
+	if j.placementCount == 0 {
+		return true
+	}
+	for i := range j.progress.Steps {
+		for index := range j.progress.Steps[i].Tasks {
+			t := &j.progress.Steps[i].Tasks[index]
+			w := p.workers[t.Worker]
+			if t.State != batch.TaskPlaced || w == nil {
+				continue
+			}
+			id := batch.TaskID{Job: j.spec.ID, Occurrence: i / len(j.spec.Steps), Step: i % len(j.spec.Steps), Index: index}
+			if pl := w.placements[id]; pl != nil && !p.endsInTime(pl, now) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// largestWorker returns the capacity of the worker of a service with the most
+// accelerators. The caller holds the lock.
+func (p *Planner) largestWorker(service string) batch.Resources {
+	largest := batch.Resources{}
+	for _, w := range p.workers {
+		if w.info.Service == service && w.info.Capacity.Accelerators > largest.Accelerators {
+			largest = w.info.Capacity
+		}
+	}
+	return largest
+}
+
+// gangWorkers returns how many idle workers of the given capacity the largest step
+// of the job needs, or 0 if no step is an adjacent gang that uses accelerators.
+func (j *job) gangWorkers(capacity batch.Resources) int {
+	most := 0
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		need := s.AllocatedResources()
+		if !s.Gang || !s.Adjacent || need.Accelerators == 0 || !need.Fits(capacity) {
+			continue
+		}
+		perWorker := 1
+		for need.Times(perWorker + 1).Fits(capacity) {
+			perWorker++
+		}
+		most = max(most, (s.Tasks+perWorker-1)/perWorker)
+	}
+	return most
+}
+
+// neededSpeed returns the speed at which a job that starts at once meets its
+// objective.
+func (p *Planner) neededSpeed(j *job) float64 {
+	due := j.spec.Due(0)
+	allowed := p.objective(j, due).Sub(due)
+	longest := time.Duration(0)
+	for i := range j.spec.Steps {
+		longest = max(longest, p.criticalPath(j, i))
+	}
+	if allowed <= 0 {
+		return 0
+	}
+	return longest.Seconds() / allowed.Seconds()
+}
--- a/scheduler/control/instruments.go
+++ b/scheduler/control/instruments.go
@@ -15,6 +15,9 @@
 	// guaranteeShortfall is the number of guaranteed accelerators that exceed those
 	// of the workers in use.
 	guaranteeShortfall *metrics.Gauge
+	// reservedAccelerators and reservedWorkers are the room kept for urgent work.
+	reservedAccelerators *metrics.Gauge
+	reservedWorkers      *metrics.Gauge
 }
 
 func newInstruments(set *metrics.Set) *instruments {
@@ -25,6 +28,9 @@
 		panics:             set.GetOrCreateCounter("daisylug_planner_faults_total"),
 		withdrawnStarts:    set.GetOrCreateCounter("daisylug_planner_withdrawn_starts_total"),
 		guaranteeShortfall: set.GetOrCreateGauge("daisylug_planner_guarantee_shortfall_accelerators", nil),
+
+		reservedAccelerators: set.GetOrCreateGauge("daisylug_planner_reserved_accelerators", nil),
+		reservedWorkers:      set.GetOrCreateGauge("daisylug_planner_reserved_workers", nil),
 	}
 }
 
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -420,7 +420,7 @@
 		}
 		last = now
 		p.expireLeases(now)
-		p.demand.add(p.urgentAccelerators())
+		p.demand.dueSamples++
 		p.mu.Unlock()
 		p.wake()
 	}
