assignment: best fit compares memory for groups that need memory most

Cause: best fit compares accelerators and processor. Where a heavy task takes 140 of a worker's 256 GB, memory is used up in pieces that no heavy task fits into.

Change: for a group that needs a larger share of the memory of its service than of its accelerators and processors, workers of one speed rank and equally full racks are compared by their free share of memory, then by accelerators. Other groups are placed as before.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -210,6 +210,8 @@
 	workerRack []int
 	// freeByRack and candidates are buffers reused by fill.
 	freeByRack []int64
+	// capacity caches the capacity of the workers of each service.
+	capacity   map[string]batch.Resources
 	candidates []candidate
 	// victims caches, by scope and worker, the runs that may be stopped.
 	victims map[victimKey]map[int][]int
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -128,11 +128,14 @@
 type candidate struct {
 	worker, slots int
 	// measureRank is 0 if the group would measure the worker's speed, else 1.
-	measureRank  int
-	speedRank    int
-	rackFree     int64
-	accelerators int64
-	milliCPU     int64
+	measureRank int
+	speedRank   int
+	rackFree    int64
+	// fit and secondFit are the free resources that best fit compares: the
+	// accelerators and the processor, or the memory and the accelerators for a group
+	// that needs memory most.
+	fit       int64
+	secondFit int64
 }
 
 func (c *candidate) compare(o *candidate) int {
@@ -143,10 +146,10 @@
 		return c.speedRank - o.speedRank
 	case c.rackFree != o.rackFree:
 		return cmp.Compare(c.rackFree, o.rackFree)
-	case c.accelerators != o.accelerators:
-		return cmp.Compare(c.accelerators, o.accelerators)
-	case c.milliCPU != o.milliCPU:
-		return cmp.Compare(c.milliCPU, o.milliCPU)
+	case c.fit != o.fit:
+		return cmp.Compare(c.fit, o.fit)
+	case c.secondFit != o.secondFit:
+		return cmp.Compare(c.secondFit, o.secondFit)
 	}
 	return c.worker - o.worker
 }
@@ -173,6 +176,7 @@
 		return nil
 	}
 	d.sumFreeByRack(workers)
+	byMemory := d.memoryIsScarcest(g)
 	for i := range candidates {
 		c := &candidates[i]
 		w := &d.view.Workers[c.worker]
@@ -180,7 +184,11 @@
 			c.measureRank = 1
 		}
 		c.speedRank, c.rackFree = d.speedRank(g, w.speedClass()), d.freeByRack[d.workerRack[c.worker]]
-		c.accelerators, c.milliCPU = d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
+		if byMemory {
+			c.fit, c.secondFit = d.memoryShare(c.worker), d.free[c.worker].Accelerators
+		} else {
+			c.fit, c.secondFit = d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
+		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
 	slots := make([]int, 0, len(g.Indexes))
