assignment: sum the capacity of a service without a map write for each worker

Cause: the share of the memory that a group needs was computed with two map accesses for each worker, which cost 48 workers about a third of a decision.

Change: only the asked service is summed, once in a decision.

--- a/scheduler/assignment/scarcity.go
+++ b/scheduler/assignment/scarcity.go
@@ -16,14 +16,20 @@
 
 // serviceCapacity returns the capacity of the workers of a service.
 func (d *decider) serviceCapacity(service string) batch.Resources {
+	if total, ok := d.capacity[service]; ok {
+		return total
+	}
+	total := batch.Resources{}
+	for i := range d.view.Workers {
+		if w := &d.view.Workers[i]; w.Service == service {
+			total = total.Plus(w.Capacity)
+		}
+	}
 	if d.capacity == nil {
 		d.capacity = map[string]batch.Resources{}
-		for i := range d.view.Workers {
-			w := &d.view.Workers[i]
-			d.capacity[w.Service] = d.capacity[w.Service].Plus(w.Capacity)
-		}
 	}
-	return d.capacity[service]
+	d.capacity[service] = total
+	return total
 }
 
 // share returns the part of the total, or 0 if there is none.
