assignment, pace, control: cautious use of workers of unknown speed, speeds from gangs

Cause: a worker of unknown speed counted as typical. Of 295 guaranteed previews, 102 had such a worker or a slower one as their slowest; they took 2.9 s at the median against 1.6 s. Gangs, the only urgent work, taught nothing.

Change, where the settings state the cost of a stop: for a group that meets its objective on a typical worker but not at the 20 % quantile of the known speeds, an unknown worker counts with that quantile. Known workers are preferred, also for stops; unknown ones are used if no others are free, and never at the price of adjacency. Work that cannot afford a slow worker does not measure speeds. A gang reveals speeds by comparison with the usual run time of its queue, if that varies by less than a factor of 1.35: no member is slower than the gang, and the only member without an estimate is the slowest if the others do not explain its time. The run time of a gang counts with the speed of its slowest member.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -23,6 +23,8 @@
 	Speed float64
 	// SpeedKnown is set once the speed has been measured.
 	SpeedKnown bool
+	// CautiousSpeed is the speed to count on while it is unknown, or 0.
+	CautiousSpeed float64
 	// AcceptsTasks is set if the worker accepts new tasks.
 	AcceptsTasks bool
 	// Trust limits what may start on a worker on which runs have failed.
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -19,7 +19,7 @@
 func (d *decider) scoreRack(g *Group, workers, slots []int) rackScore {
 	slowest := len(speedClassBounds)
 	for _, w := range slots {
-		slowest = min(slowest, d.view.Workers[w].speedClass())
+		slowest = min(slowest, speedClass(d.speedFor(g, &d.view.Workers[w])))
 	}
 	return rackScore{speed: d.speedRank(g, slowest), freeSlots: d.freeSlots(g, workers)}
 }
@@ -29,11 +29,11 @@
 // 0.6 of the typical speed.
 var speedClassBounds = [...]float64{0.33, 0.8, 1.25}
 
-// speedClass returns the speed class of the worker, from 0 for the slowest.
-func (w *Worker) speedClass() int {
+// speedClass returns the class of a speed, from 0 for the slowest.
+func speedClass(speed float64) int {
 	class := 0
 	for _, s := range speedClassBounds {
-		if w.Speed >= s {
+		if speed >= s {
 			class++
 		}
 	}
@@ -109,9 +109,10 @@
 const unlimitedSlots = 1 << 20
 
 // measuresSpeed reports whether running the group would measure the unknown speed
-// of the worker: it has several tasks, is not a gang and is not urgent.
+// of the worker: it has several tasks, is not a gang, is not urgent and can afford a
+// slow worker.
 func (d *decider) measuresSpeed(g *Group, w *Worker) bool {
-	return !w.SpeedKnown && !g.Gang && g.Priority > 0 && len(g.Indexes) > 1
+	return !w.SpeedKnown && !g.Gang && g.Priority > 0 && len(g.Indexes) > 1 && d.speedFor(g, w) == w.Speed
 }
 
 // sumFreeByRack sets freeByRack to the free accelerators of the workers.
@@ -183,7 +184,7 @@
 		if !d.measuresSpeed(g, w) {
 			c.measureRank = 1
 		}
-		c.speedRank, c.rackFree = d.speedRank(g, w.speedClass()), d.freeByRack[d.workerRack[c.worker]]
+		c.speedRank, c.rackFree = d.speedRank(g, speedClass(d.speedFor(g, w))), d.freeByRack[d.workerRack[c.worker]]
 		if byMemory {
 			c.fit, c.secondFit = d.memoryShare(c.worker), d.free[c.worker].Accelerators
 		} else {
--- a/scheduler/assignment/slot_test.go
+++ b/scheduler/assignment/slot_test.go
@@ -47,7 +47,7 @@
 		x, y := &d.view.Workers[a.worker], &d.view.Workers[b.worker]
 		return cmp.Or(
 			-compareBool(d.measuresSpeed(g, x), d.measuresSpeed(g, y)),
-			cmp.Compare(d.speedRank(g, x.speedClass()), d.speedRank(g, y.speedClass())),
+			cmp.Compare(d.speedRank(g, speedClass(x.Speed)), d.speedRank(g, speedClass(y.Speed))),
 			cmp.Compare(rackFree[x.Rack], rackFree[y.Rack]),
 			cmp.Compare(memory(a.worker), memory(b.worker)),
 			cmp.Compare(d.free[a.worker].Accelerators, d.free[b.worker].Accelerators),
--- a/scheduler/assignment/urgency.go
+++ b/scheduler/assignment/urgency.go
@@ -26,6 +26,12 @@
 	if !d.fitsCompactWhenEmpty(g, fast) {
 		return nil, false
 	}
+	certain, differs := d.certainlyFast(g, 0)
+	if differs && d.fitsCompactWhenEmpty(g, certain) {
+		if slots := d.findWorkers(g, certain); slots != nil {
+			return slots, false
+		}
+	}
 	if slots := d.findWorkers(g, fast); slots != nil {
 		return slots, false
 	}
@@ -36,8 +42,7 @@
 	if d.view.Now.Sub(g.ReadySince) >= preemptionWindow {
 		return nil, false
 	}
-	fastAfterStop := d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, d.view.Stopping.delay()) })
-	p := d.compactPlan(g, fastAfterStop, victimsLowerPriority)
+	p := d.planOnFast(g, d.view.Stopping.delay())
 	if p == nil || p.loss > g.expectedWork() {
 		return nil, false
 	}
@@ -60,10 +65,15 @@
 // meetsObjective reports whether the group would meet its objective on the worker
 // if it started after the delay.
 func (d *decider) meetsObjective(g *Group, w *Worker, delay time.Duration) bool {
-	if w.Speed <= 0 {
+	return d.meetsObjectiveAt(g, w.Speed, delay)
+}
+
+// meetsObjectiveAt is like meetsObjective for a worker of the given speed.
+func (d *decider) meetsObjectiveAt(g *Group, speed float64, delay time.Duration) bool {
+	if speed <= 0 {
 		return false
 	}
-	length := time.Duration(float64(g.ExpectedDuration) / w.Speed)
+	length := time.Duration(float64(g.ExpectedDuration) / speed)
 	return !d.view.Now.Add(delay + length).After(g.Objective)
 }
 
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -90,12 +90,13 @@
 		v.workers = append(v.workers, w)
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	cautious := p.unknownSpeed()
 	for i, w := range v.workers {
 		v.workerIndex[w.info.ID] = i
 		v.input.Workers = append(v.input.Workers, assignment.Worker{
 			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.currentSpeed(w, now),
-			SpeedKnown: p.speeds.Known(w.info.ID), AcceptsTasks: p.evacuations.known && w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
+			SpeedKnown: p.speeds.Known(w.info.ID), CautiousSpeed: p.cautiousSpeed(w, cautious, now), AcceptsTasks: p.evacuations.known && w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
 			Trust: p.workerTrust(w, now),
 		})
 	}
@@ -341,11 +342,14 @@
 func (p *Planner) logStarts(v *decisionView, starts []assignment.Start) {
 	for i := 0; i < len(starts); {
 		group := starts[i].Group
-		slowest := math.Inf(1)
+		slowest, unknown := math.Inf(1), 0
 		var workers []string
 		for ; i < len(starts) && starts[i].Group == group; i++ {
 			w := &v.input.Workers[starts[i].Worker]
 			slowest = min(slowest, w.Speed)
+			if !w.SpeedKnown {
+				unknown++
+			}
 			if len(workers) == 0 || workers[len(workers)-1] != w.ID {
 				workers = append(workers, w.ID)
 			}
@@ -353,7 +357,8 @@
 		g, j := &v.input.Groups[group], v.jobs[group]
 		p.Log.Info("tasks placed", "job", g.Job, "occurrence", g.Occurrence, "step", g.Step, "tasks", len(g.Indexes),
 			"run", j.progress.Step(j.spec, g.Occurrence, g.Step).Tasks[starts[i-1].Index].Run, "workers", workers, "slowest", slowest,
-			"covered", g.Guaranteed, "ready", v.input.Now.Sub(g.ReadySince), "age", v.input.Now.Sub(g.Accepted), "reserve", v.input.Reserve)
+			"covered", g.Guaranteed, "ready", v.input.Now.Sub(g.ReadySince), "age", v.input.Now.Sub(g.Accepted), "reserve", v.input.Reserve, "unknownspeed", unknown)
+		p.instruments.countUnknownSpeed(j.spec.Queue, unknown)
 	}
 }
 
--- a/scheduler/control/end.go
+++ b/scheduler/control/end.go
@@ -129,7 +129,7 @@
 		if !pl.step.Gang {
 			p.speeds.Observe(pl.stepKey(), w.info.ID, total)
 		}
-		p.estimator.Observe("", j.spec.Queue, time.Duration(float64(total)*p.speeds.Speed(w.info.ID)))
+		p.estimator.Observe("", j.spec.Queue, time.Duration(float64(total)*p.runSpeed(pl)))
 	}
 	if pl.step.LongRunning {
 		p.requeue(pl)
--- a/scheduler/control/instruments.go
+++ b/scheduler/control/instruments.go
@@ -18,6 +18,8 @@
 	// reservedAccelerators and reservedWorkers are the room kept for urgent work.
 	reservedAccelerators *metrics.Gauge
 	reservedWorkers      *metrics.Gauge
+	// gangSpeeds counts the speeds learned from gangs.
+	gangSpeeds *metrics.Counter
 }
 
 func newInstruments(set *metrics.Set) *instruments {
@@ -30,6 +32,7 @@
 		guaranteeShortfall: set.GetOrCreateGauge("daisylug_planner_guarantee_shortfall_accelerators", nil),
 
 		reservedAccelerators: set.GetOrCreateGauge("daisylug_planner_reserved_accelerators", nil),
+		gangSpeeds:           set.GetOrCreateCounter("daisylug_planner_gang_speeds_total"),
 		reservedWorkers:      set.GetOrCreateGauge("daisylug_planner_reserved_workers", nil),
 	}
 }
@@ -55,6 +58,11 @@
 	m.set.GetOrCreateCounter(`daisylug_planner_unneeded_stops_total{reason="` + string(reason) + `"}`).Inc()
 }
 
+// countUnknownSpeed counts the tasks that start on workers of unknown speed.
+func (m *instruments) countUnknownSpeed(queue string, n int) {
+	m.set.GetOrCreateCounter(`daisylug_planner_unknown_speed_starts_total{queue="` + queue + `"}`).Add(n)
+}
+
 // waitTime returns the histogram of the time from acceptance to the first
 // start.
 func (m *instruments) waitTime(team string) *metrics.Histogram {
--- a/scheduler/control/report.go
+++ b/scheduler/control/report.go
@@ -92,8 +92,7 @@
 const minSampleProgress = 0.08
 
 // sampleSpeed compares the progress of a run with that of the step's other
-// tasks. The members of a gang progress together, so they reveal nothing about
-// their workers.
+// tasks. The members of a gang progress together, see sampleGang.
 func (p *Planner) sampleSpeed(pl *placement, progress float64, now time.Time) {
 	if pl.sampledAt.IsZero() {
 		pl.sampledAt, pl.sampledProgress = now, progress
@@ -106,6 +105,7 @@
 	total := time.Duration(float64(now.Sub(pl.sampledAt)) / done)
 	switch {
 	case pl.step.Gang:
+		p.sampleGang(pl, total, now)
 	case pl.worker.cold(now):
 		p.speeds.ObserveCold(pl.stepKey(), pl.worker.info.ID, total)
 	case !pl.worker.cold(pl.sampledAt):
--- a/scheduler/pace/pace.go
+++ b/scheduler/pace/pace.go
@@ -136,12 +136,7 @@
 	if m == nil {
 		return 1
 	}
-	if e.stale {
-		all := e.Estimates()
-		slices.SortFunc(all, func(x, y Estimate) int { return cmp.Compare(x.Slowness, y.Slowness) })
-		e.median, e.stale = all[len(all)/2].Slowness, false
-	}
-	return math.Exp(e.median - m.value)
+	return math.Exp(e.typical() - m.value)
 }
 
 // Known reports whether there is an observation of a worker.
