--- a/scheduler/assignment/speed_test.go
+++ b/scheduler/assignment/speed_test.go
@@ -1,7 +1,6 @@
 package assignment
 
 import (
-	"fmt"
 	"testing"
 	"time"
 )
@@ -111,9 +110,6 @@
 					t.Errorf("run stopped on worker %d of unknown speed", w)
 				}
 			}
-			if t.Failed() {
-				t.Log(fmt.Sprintf("%+v", d))
-			}
 		})
 	}
 }
