control, assignment: cheaper urgent demand, stops within the allowed loss

Cause: the demand of urgent work computed the objective of a job, over all paths through its steps, for each running task. A plan that spares jobs or unknown workers was taken whatever it loses and then rejected for its loss. One stop spared all later runs of a job. Workers without the capacity for a gang were reserved. Guaranteed groups left reserved workers free, and late ones waited although runs that end by themselves made room.

Change: critical paths are computed once per job, backwards over the steps. A sparing plan is used only within the allowed loss, else the cheapest one. A job is spared for 30 s after a stop. A reserved shape states what a gang uses on each worker. Guaranteed groups ignore the marks, and a late one takes room that needs no stop.

--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -16,6 +17,8 @@
 	victimsBorrowed
 	// victimsAny are all runs.
 	victimsAny
+	// victimsEnding are the runs that end without a stop.
+	victimsEnding
 )
 
 // allows reports whether the resources of the run may be taken. Those of a run
@@ -26,6 +29,8 @@
 		return true
 	case v == victimsLowerPriority:
 		return r.Borrowed && r.Priority > 0
+	case v == victimsEnding:
+		return false
 	}
 	return r.Borrowed
 }
@@ -39,7 +44,11 @@
 		return
 	}
 	if d.waitsInsteadOfStopping(g) {
-		d.reserveForBlocked(g)
+		if p := d.plan(g, d.accepting, victimsEnding); p != nil {
+			d.applyPlan(position, p, StopForGuarantee)
+		} else {
+			d.reserveForBlocked(g)
+		}
 		return
 	}
 	if d.view.Now.Sub(g.ReadySince) >= runEndTimeout {
@@ -78,16 +87,17 @@
 // plan returns the preemption that loses the least work to fit a group into the
 // pool, on the preferred workers if that is possible.
 func (d *decider) plan(g *Group, in pool, scope victimScope) *plan {
-	if p := d.compactPlan(g, in, scope); p != nil {
+	if p := d.compactPlan(g, in, scope, math.Inf(1)); p != nil {
 		return p
 	}
-	return d.sparingPlan(func() *plan { return d.evictionPlan(g, in.workers, scope) })
+	return d.sparingPlan(math.Inf(1), func() *plan { return d.evictionPlan(g, in.workers, scope) })
 }
 
 // compactPlan is like plan but considers only the preferred workers: the rack of
-// the group's data, any one rack for an adjacent gang, or else all workers.
-func (d *decider) compactPlan(g *Group, in pool, scope victimScope) *plan {
-	return d.sparingPlan(func() *plan { return d.compactPlanWithin(g, in, scope) })
+// the group's data, any one rack for an adjacent gang, or else all workers. A plan
+// that loses more than maxLoss is not preferred for sparing jobs stopped before.
+func (d *decider) compactPlan(g *Group, in pool, scope victimScope, maxLoss float64) *plan {
+	return d.sparingPlan(maxLoss, func() *plan { return d.compactPlanWithin(g, in, scope) })
 }
 
 func (d *decider) compactPlanWithin(g *Group, in pool, scope victimScope) *plan {
--- a/scheduler/assignment/reserve.go
+++ b/scheduler/assignment/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"daisylug.example/scheduler/batch"
 )
 
 // ReservedShape is room that less urgent work leaves to expected urgent gangs:
@@ -15,12 +17,19 @@
 	Block   int
 	// MinSpeed is the speed that the gangs need to meet their objectives.
 	MinSpeed float64
+	// PerWorker is what a gang uses on each worker.
+	PerWorker batch.Resources
+}
+
+// accepts reports whether the worker would be of use to the gangs if it were idle.
+func (s *ReservedShape) accepts(w *Worker) bool {
+	return w.Service == s.Service && s.PerWorker.Fits(w.Capacity)
 }
 
 // reserveShapes marks the workers of the reserved shapes, which less urgent work
 // does not use while they are marked. Workers in use are marked as well, so that
 // they become free for a gang as a whole. At most the share maxReserveShare of the
-// workers of a service is marked.
+// workers of a service that have the capacity is marked.
 func (d *decider) reserveShapes() {
 	for _, s := range d.view.ReservedShapes {
 		if d.reservedWorkers == nil {
@@ -28,7 +37,7 @@
 		}
 		inService := 0
 		for _, w := range d.accepting.workers {
-			if d.view.Workers[w].Service == s.Service {
+			if s.accepts(&d.view.Workers[w]) {
 				inService++
 			}
 		}
@@ -56,7 +65,7 @@
 		idle := 0
 		for _, i := range workers {
 			w := &d.view.Workers[i]
-			if w.Service != s.Service || w.Speed < s.MinSpeed || d.reservedWorkers[i] {
+			if !s.accepts(w) || w.Speed < s.MinSpeed || d.reservedWorkers[i] {
 				continue
 			}
 			eligible = append(eligible, i)
@@ -83,7 +92,8 @@
 // idle reports whether nothing uses the worker.
 func (d *decider) idle(worker int) bool { return d.free[worker] == d.view.Workers[worker].Capacity }
 
-// keepsReserved reports whether the group leaves the marked workers free.
+// keepsReserved reports whether the group leaves the marked workers free. Work
+// under a guarantee never does.
 func (d *decider) keepsReserved(g *Group) bool {
-	return d.reservedWorkers != nil && g.Priority > 0 && !d.mayRelaxPlacement(g)
+	return d.reservedWorkers != nil && g.Priority > 0 && !g.Guaranteed && !d.mayRelaxPlacement(g)
 }
--- a/scheduler/assignment/reserve_test.go
+++ b/scheduler/assignment/reserve_test.go
@@ -136,3 +136,38 @@
 		t.Errorf("reserved workers used past the placement timeout: %s, before: %s", relaxed, onReserved(v))
 	}
 }
+
+// TestReservedWorkersHaveTheCapacity guards against a reserve of workers that
+// cannot hold the gangs, such as those without accelerators.
+func TestReservedWorkersHaveTheCapacity(t *testing.T) {
+	v := View{Now: now, Workers: idleRacks(3), Groups: []Group{tightBulk(128)}}
+	for i := range v.Workers {
+		if i < 8 {
+			v.Workers[i].Capacity.Accelerators, v.Workers[i].Free.Accelerators = 0, 0
+		}
+	}
+	v.ReservedShapes = []ReservedShape{{Service: "s", Workers: 12, Block: 5, PerWorker: batch.Resources{MilliCPU: 5000, Accelerators: 8}}}
+	// Half of the 16 workers that have the capacity are left.
+	if n := len(Decide(v).Starts); n != 64 {
+		t.Errorf("%d starts, want 64", n)
+	}
+}
+
+// TestGuaranteedWorkUsesReservedWorkers guards against work under a guarantee that
+// waits for workers that are kept for expected work.
+func TestGuaranteedWorkUsesReservedWorkers(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		g := gangGroup("g", 8, 8)
+		g.Priority, g.Guaranteed, g.ReadySince = 1, true, now
+		if late {
+			g.Objective = now.Add(time.Second)
+		}
+		v := View{
+			Now: now, Workers: idleRacks(1), Groups: []Group{g}, Stopping: StopPolicy{Sparing: true},
+			ReservedShapes: []ReservedShape{{Service: "s", Workers: 4, Block: 4}},
+		}
+		if d := Decide(v); len(d.Starts) != 8 || len(d.Stops) != 0 {
+			t.Errorf("late %v: %d starts, stops %v, want 8 starts", late, len(d.Starts), d.Stops)
+		}
+	}
+}
--- a/scheduler/assignment/speed.go
+++ b/scheduler/assignment/speed.go
@@ -36,12 +36,13 @@
 }
 
 // planOnFast returns a plan to place an urgent group on workers that meet its
-// objective once runs on them are stopped, on those of known speed if possible.
-func (d *decider) planOnFast(g *Group, delay time.Duration) *plan {
+// objective once runs on them are stopped, on those of known speed if that loses at
+// most maxLoss.
+func (d *decider) planOnFast(g *Group, delay time.Duration, maxLoss float64) *plan {
 	if certain, differs := d.certainlyFast(g, delay); differs {
-		if p := d.compactPlan(g, certain, victimsLowerPriority); p != nil {
+		if p := d.compactPlan(g, certain, victimsLowerPriority, maxLoss); p != nil && p.loss <= maxLoss {
 			return p
 		}
 	}
-	return d.compactPlan(g, d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, delay) }), victimsLowerPriority)
+	return d.compactPlan(g, d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, delay) }), victimsLowerPriority, maxLoss)
 }
--- a/scheduler/assignment/stopping.go
+++ b/scheduler/assignment/stopping.go
@@ -62,15 +62,15 @@
 }
 
 // sparingPlan returns a plan that stops no job a second time, or any plan if there
-// is none.
-func (d *decider) sparingPlan(find func() *plan) *plan {
+// is none that loses at most maxLoss.
+func (d *decider) sparingPlan(maxLoss float64, find func() *plan) *plan {
 	if !d.view.Stopping.Sparing {
 		return find()
 	}
 	d.sparesStopped = true
 	p := find()
 	d.sparesStopped = false
-	if p == nil && d.anyStoppedBefore() {
+	if (p == nil || p.loss > maxLoss) && d.anyStoppedBefore() {
 		p = find()
 	}
 	return p
--- a/scheduler/assignment/stopping_test.go
+++ b/scheduler/assignment/stopping_test.go
@@ -67,6 +67,11 @@
 			change: func(v *View) { v.Running[0].StoppedBefore = true },
 			stops:  []int{0, 1}, reservations: 1,
 		},
+		{
+			name: "a late group takes room that is being freed", group: late, policy: sparing,
+			change:       func(v *View) { v.Running[5].Stopping, v.Running[6].EndsSoon = true, true },
+			reservations: 1,
+		},
 		{name: "a group that will be late waits for room", group: late, policy: sparing},
 		{name: "without the policy a late group waits for nothing", group: late, stops: []int{0, 1}, reservations: 1},
 		{
@@ -151,3 +156,38 @@
 		}
 	}
 }
+
+// TestSparingNeedsNoMoreThanAllowed guards against urgent groups that get no room
+// because the plan that spares jobs or unknown workers loses too much, though
+// another plan does not.
+func TestSparingNeedsNoMoreThanAllowed(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(v *View, i int)
+	}{
+		{"jobs stopped before", func(v *View, i int) { v.Running[i].StoppedBefore = true }},
+		{"workers of unknown speed", func(v *View, i int) {
+			w := &v.Workers[v.Running[i].Allocations[0].Worker]
+			w.SpeedKnown, w.CautiousSpeed = false, 0.46
+		}},
+	}
+	for _, tt := range tests {
+		// The group may lose 2 tasks of 5 processors and 8 accelerators for 2 s, 276
+		// core-seconds.
+		for loss, spared := range map[float64]bool{9: true, 1000: false} {
+			v := View{Now: now, Workers: mixedSpeedRacks(1), Groups: []Group{urgentGang(2)}, Stopping: StopPolicy{Sparing: true}}
+			occupyFastWorkers(&v, loss)
+			for i := range v.Workers {
+				v.Workers[i].SpeedKnown = true
+			}
+			for i := range 2 {
+				tt.change(&v, i)
+				v.Running[i].LostWork = 1
+			}
+			d := Decide(v)
+			if got := fmt.Sprint(d.Stops) != "[0 1]"; len(d.Stops) != 2 || got != spared {
+				t.Errorf("%s, other runs lose %v: stops %v, spared %v, want %v", tt.name, loss, d.Stops, got, spared)
+			}
+		}
+	}
+}
--- a/scheduler/assignment/urgency.go
+++ b/scheduler/assignment/urgency.go
@@ -42,7 +42,7 @@
 	if d.view.Now.Sub(g.ReadySince) >= preemptionWindow {
 		return nil, false
 	}
-	p := d.planOnFast(g, d.view.Stopping.delay())
+	p := d.planOnFast(g, d.view.Stopping.delay(), g.expectedWork())
 	if p == nil || p.loss > g.expectedWork() {
 		return nil, false
 	}
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -255,14 +255,29 @@
 // criticalPath returns the expected time from the start of a step to the end of
 // the job.
 func (p *Planner) criticalPath(j *job, step int) time.Duration {
+	return p.criticalPaths(j)[step]
+}
+
+// criticalPaths returns the critical path of each step. The steps of a job depend
+// on earlier ones only.
+func (p *Planner) criticalPaths(j *job) []time.Duration {
+	paths := make([]time.Duration, len(j.spec.Steps))
+	for step := len(paths) - 1; step >= 0; step-- {
+		s := &j.spec.Steps[step]
+		paths[step] = p.estimator.Estimate(j.estimationJob(s)).Median + j.pathAfter(paths, step)
+	}
+	return paths
+}
+
+// pathAfter returns the longest critical path of the steps that depend on a step.
+func (j *job) pathAfter(paths []time.Duration, step int) time.Duration {
 	after := time.Duration(0)
-	for i := step + 1; i < len(j.spec.Steps); i++ {
+	for i := step + 1; i < len(paths); i++ {
 		if slices.Contains(j.spec.Steps[i].DependsOn, step) {
-			after = max(after, p.criticalPath(j, i))
+			after = max(after, paths[i])
 		}
 	}
-	s := &j.spec.Steps[step]
-	return p.estimator.Estimate(j.estimationJob(s)).Median + after
+	return after
 }
 
 // addRuns adds the runs that may be stopped.
@@ -292,7 +307,7 @@
 				v.runs = append(v.runs, nil)
 				v.input.Running = append(v.input.Running, assignment.Running{
 					Job: pl.job.spec.ID, Priority: pl.job.queue.Priority, Borrowed: !covered[pl.job],
-					Stopping: stopping, StoppedBefore: pl.job.stoppedRuns > 0,
+					Stopping: stopping, StoppedBefore: pl.job.stoppedRecently(now),
 				})
 			}
 			v.runs[n] = append(v.runs[n], pl)
--- a/scheduler/control/demand.go
+++ b/scheduler/control/demand.go
@@ -43,6 +43,9 @@
 	// a gang needed, at the ticks with any gang.
 	largest samples[int]
 	speeds  samples[float64]
+	// perWorker is what the largest gang used on each worker at the latest tick with
+	// any gang.
+	perWorker batch.Resources
 }
 
 // samples keeps the latest samples of a value.
@@ -78,6 +81,8 @@
 type gangNeed struct {
 	workers, largest int
 	speed            float64
+	// perWorker is what the largest gang uses on each worker.
+	perWorker batch.Resources
 }
 
 // add records the need at one tick.
@@ -92,6 +97,7 @@
 		}
 		d.gangs[service].largest.add(g.largest)
 		d.gangs[service].speeds.add(g.speed)
+		d.gangs[service].perWorker = g.perWorker
 	}
 	for service, g := range d.gangs {
 		g.workers.add(n.gangs[service].workers)
@@ -111,7 +117,7 @@
 	for _, service := range slices.Sorted(maps.Keys(d.gangs)) {
 		g := d.gangs[service]
 		if n := g.workers.quantile - current.gangs[service].workers; n > 0 {
-			all = append(all, assignment.ReservedShape{Service: service, Workers: n, Block: g.largest.quantile, MinSpeed: g.speeds.quantile})
+			all = append(all, assignment.ReservedShape{Service: service, Workers: n, Block: g.largest.quantile, MinSpeed: g.speeds.quantile, PerWorker: g.perWorker})
 		}
 	}
 	return all
@@ -146,25 +152,32 @@
 	n := urgentNeed{gangs: map[string]gangNeed{}}
 	capacity := map[string]batch.Resources{}
 	for _, j := range p.live {
-		if j.queue.Priority != 0 || j.spec.Occurrences != 0 || !p.needsRoom(j, now) {
+		if j.queue.Priority != 0 || j.spec.Occurrences != 0 {
+			continue
+		}
+		paths := p.criticalPaths(j)
+		if !p.needsRoom(j, paths, now) {
 			continue
 		}
 		service := p.service(j)
 		if _, ok := capacity[service]; !ok {
 			capacity[service] = p.largestWorker(service)
 		}
-		workers := 0
+		workers, perWorker := 0, batch.Resources{}
 		if p.Timing.statesStopCost() {
-			workers = j.gangWorkers(capacity[service])
+			workers, perWorker = j.gangWorkers(capacity[service])
 		}
 		if workers == 0 {
 			n.accelerators += j.peakAccelerators()
 			continue
 		}
 		g := n.gangs[service]
+		if workers > g.largest {
+			g.perWorker = perWorker
+		}
 		g.workers += workers
 		g.largest = max(g.largest, workers)
-		g.speed = max(g.speed, p.neededSpeed(j))
+		g.speed = max(g.speed, j.neededSpeed(paths))
 		n.gangs[service] = g
 	}
 	return n
@@ -172,15 +185,18 @@
 
 // needsRoom reports whether room kept for an urgent job could still serve its
 // objective: the objective has not passed, and no run of the job is in progress
-// that will miss it. The caller holds the lock.
-func (p *Planner) needsRoom(j *job, now time.Time) bool {
-	if now.After(p.objective(j, j.spec.Due(0))) {
+// that will miss it. The critical paths are those of the job. The caller holds the
+// lock.
+func (p *Planner) needsRoom(j *job, paths []time.Duration, now time.Time) bool {
+	objective := j.objectiveFor(paths, j.spec.Due(0))
+	if now.After(objective) {
 		return false
 	}
 	if j.placementCount == 0 {
 		return true
 	}
 	for i := range j.progress.Steps {
+		after := j.pathAfter(paths, i%len(j.spec.Steps))
 		for index := range j.progress.Steps[i].Tasks {
 			t := &j.progress.Steps[i].Tasks[index]
 			w := p.workers[t.Worker]
@@ -188,7 +204,7 @@
 				continue
 			}
 			id := batch.TaskID{Job: j.spec.ID, Occurrence: i / len(j.spec.Steps), Step: i % len(j.spec.Steps), Index: index}
-			if pl := w.placements[id]; pl != nil && !p.endsInTime(pl, now) {
+			if pl := w.placements[id]; pl != nil && p.expectedEnd(pl, now).Add(after).After(objective) {
 				return false
 			}
 		}
@@ -209,9 +225,9 @@
 }
 
 // gangWorkers returns how many idle workers of the given capacity the largest step
-// of the job needs, or 0 if no step is an adjacent gang that uses accelerators.
-func (j *job) gangWorkers(capacity batch.Resources) int {
-	most := 0
+// of the job needs and what it uses on each, or 0 if no step is an adjacent gang
+// that uses accelerators.
+func (j *job) gangWorkers(capacity batch.Resources) (most int, used batch.Resources) {
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
 		need := s.AllocatedResources()
@@ -222,22 +238,21 @@
 		for need.Times(perWorker + 1).Fits(capacity) {
 			perWorker++
 		}
-		most = max(most, (s.Tasks+perWorker-1)/perWorker)
+		perWorker = min(perWorker, s.Tasks)
+		if n := (s.Tasks + perWorker - 1) / perWorker; n > most {
+			most, used = n, need.Times(perWorker)
+		}
 	}
-	return most
+	return most, used
 }
 
 // neededSpeed returns the speed at which a job that starts at once meets its
 // objective.
-func (p *Planner) neededSpeed(j *job) float64 {
+func (j *job) neededSpeed(paths []time.Duration) float64 {
 	due := j.spec.Due(0)
-	allowed := p.objective(j, due).Sub(due)
-	longest := time.Duration(0)
-	for i := range j.spec.Steps {
-		longest = max(longest, p.criticalPath(j, i))
-	}
+	allowed := j.objectiveFor(paths, due).Sub(due)
 	if allowed <= 0 {
 		return 0
 	}
-	return longest.Seconds() / allowed.Seconds()
+	return longest(paths).Seconds() / allowed.Seconds()
 }
--- a/scheduler/control/demand_test.go
+++ b/scheduler/control/demand_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,13 +31,15 @@
 		progress     float64
 		accelerators int64
 		workers      int
+		// perWorker is the accelerators that the gang uses on each worker.
+		perWorker int64
 	}{
 		{name: "waiting", step: whole, accelerators: 40},
 		{name: "waiting, past the objective", step: whole, now: 3100 * time.Millisecond},
 		{name: "running in time", step: whole, running: true, now: time.Second, progress: 0.5, accelerators: 40},
 		{name: "running late", step: whole, running: true, now: 2 * time.Second, progress: 0.2},
-		{name: "waiting gang of whole workers", timing: stated, step: whole, workers: 5},
-		{name: "waiting gang of parts of workers", timing: stated, step: half, workers: 3},
+		{name: "waiting gang of whole workers", timing: stated, step: whole, workers: 5, perWorker: 8},
+		{name: "waiting gang of parts of workers", timing: stated, step: half, workers: 3, perWorker: 6},
 		{name: "gang that is not adjacent", timing: stated, step: spread, accelerators: 40},
 		{name: "late gang", timing: stated, step: whole, now: 3100 * time.Millisecond},
 	}
@@ -60,7 +63,7 @@
 			}
 		}
 		n := p.urgentNeed(now)
-		if g := n.gangs["s"]; n.accelerators != tt.accelerators || g.workers != tt.workers || g.largest != tt.workers {
+		if g := n.gangs["s"]; n.accelerators != tt.accelerators || g.workers != tt.workers || g.largest != tt.workers || g.perWorker.Accelerators != tt.perWorker {
 			t.Errorf("%s: %d accelerators, %+v, want %d accelerators, %d workers", tt.name, n.accelerators, g, tt.accelerators, tt.workers)
 		}
 	}
@@ -73,7 +76,7 @@
 		if workers == 0 {
 			return urgentNeed{}
 		}
-		return urgentNeed{gangs: map[string]gangNeed{"s": {workers: workers, largest: largest, speed: 0.6}}}
+		return urgentNeed{gangs: map[string]gangNeed{"s": {workers: workers, largest: largest, speed: 0.6, perWorker: batch.Resources{Accelerators: 8}}}}
 	}
 	for range 100 {
 		d.add(need(0, 0))
@@ -85,7 +88,7 @@
 		got := 0
 		for _, s := range d.shapes(need(current, current)) {
 			got += s.Workers
-			if s.Block != 5 || s.MinSpeed != 0.6 || s.Service != "s" {
+			if s.Block != 5 || s.MinSpeed != 0.6 || s.PerWorker.Accelerators != 8 || s.Service != "s" {
 				t.Errorf("shape %+v", s)
 			}
 		}
@@ -151,3 +154,60 @@
 		f.expectState(p, "urgent", "u4", batch.JobDone)
 	})
 }
+
+// urgentLoad returns a planner with urgent jobs of chained steps, each with running
+// tasks.
+func urgentLoad(jobs, tasks, steps int, start time.Time) *Planner {
+	p := &Planner{estimator: queue.NewEstimator(), speeds: pace.New(), workers: map[string]*worker{}, live: map[string]*job{}}
+	p.Config = func() *Config { return nil }
+	for i := range 100 {
+		p.estimator.Observe("", "urgent", time.Second+time.Duration(i)*time.Millisecond)
+	}
+	for n := range jobs {
+		spec := &batch.Job{ID: fmt.Sprint("j", n), Queue: "urgent", AcceptedAt: start}
+		for i := range steps {
+			step := batch.Step{Tasks: tasks, Estimate: time.Second, Need: batch.Resources{MilliCPU: 1000, Accelerators: 1}}
+			// Each step depends on all earlier ones.
+			for before := range i {
+				step.DependsOn = append(step.DependsOn, before)
+			}
+			spec.Steps = append(spec.Steps, step)
+		}
+		j := newJob(spec, Queue{Service: "s", Stretch: 2, Target: time.Second}, 0, batch.NewProgress(spec))
+		p.live[spec.ID] = j
+		for index := range tasks {
+			id := batch.TaskID{Job: spec.ID, Index: index}
+			name := fmt.Sprint("w", index)
+			if p.workers[name] == nil {
+				p.workers[name] = &worker{placements: map[batch.TaskID]*placement{}}
+			}
+			j.placementCount++
+			j.progress.Task(spec, id).State, j.progress.Task(spec, id).Worker = batch.TaskPlaced, name
+			p.workers[name].placements[id] = &placement{job: j, id: id, step: &spec.Steps[0], worker: p.workers[name], phase: phaseRunning, confirmedAt: start}
+		}
+	}
+	return p
+}
+
+// TestUrgentNeedIsCheap guards against a demand whose cost grows with the tasks of
+// a job times the paths through its steps: with 20 steps that all depend on each
+// other it took 22 s.
+func TestUrgentNeedIsCheap(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := urgentLoad(4, 50, 20, start)
+	began := time.Now()
+	if n := p.urgentNeed(start); n.accelerators != 200 {
+		t.Errorf("%d accelerators, want 200", n.accelerators)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the demand took %v", took)
+	}
+}
+
+func BenchmarkUrgentNeed(b *testing.B) {
+	start := time.Unix(1000, 0)
+	p := urgentLoad(40, 50, 8, start)
+	for b.Loop() {
+		p.urgentNeed(start)
+	}
+}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -150,9 +150,9 @@
 	// placementCount is the number of the job's placements.
 	placementCount int
 	started        bool
-	// stoppedRuns is the number of runs that this planner stopped and whose work
-	// had to be resumed.
-	stoppedRuns int
+	// stoppedAt is when this planner last stopped a run whose work had to be
+	// resumed, or zero.
+	stoppedAt time.Time
 	// readySince is when the waiting tasks of a step became ready to start.
 	readySince map[stepRef]time.Time
 	// reservations are the workers reserved for a step while runs on them are
--- a/scheduler/control/stopping.go
+++ b/scheduler/control/stopping.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"daisylug.example/scheduler/assignment"
@@ -14,6 +15,10 @@
 	// continues elsewhere, the time to stop it and to restore it, where the
 	// deployment does not state them.
 	defaultRestartTime = 1200 * time.Millisecond
+	// stopSparingTime is how long after a stop the other runs of the job are stopped
+	// only if there are no others. It is limited so that one stop does not spare a
+	// large or recurring job for the rest of its life.
+	stopSparingTime = 30 * time.Second
 	// maxOverrun is how long after its expected end a run still counts as about to
 	// end.
 	maxOverrun = 300 * time.Millisecond
@@ -72,12 +77,18 @@
 		now := time.Now()
 		p.instruments.countStop(reason, reason.resumes() && p.endsInTime(pl, now))
 		if reason.resumes() {
-			pl.job.stoppedRuns++
+			pl.job.stoppedAt = now
 		}
 	}
 	p.stop(pl)
 }
 
+// stoppedRecently reports whether a run of the job was stopped within
+// stopSparingTime.
+func (j *job) stoppedRecently(now time.Time) bool {
+	return !j.stoppedAt.IsZero() && now.Sub(j.stoppedAt) < stopSparingTime
+}
+
 // applyStops stops the runs of a decision. The caller holds the lock.
 func (p *Planner) applyStops(v *decisionView, d assignment.Decision, now time.Time) {
 	for n, i := range d.Stops {
@@ -98,19 +109,29 @@
 // objective returns the time by which an occurrence of a job that is due at the
 // given time must be done to count in full.
 func (p *Planner) objective(j *job, due time.Time) time.Time {
-	longest := time.Duration(0)
-	for i := range j.spec.Steps {
-		longest = max(longest, p.criticalPath(j, i))
+	return j.objectiveFor(p.criticalPaths(j), due)
+}
+
+// longest returns the longest of the critical paths of a job. The steps of a
+// damaged job may be missing.
+func longest(paths []time.Duration) time.Duration {
+	if len(paths) == 0 {
+		return 0
 	}
-	return due.Add(time.Duration(j.queue.Stretch*float64(longest)) + j.queue.Target)
+	return slices.Max(paths)
+}
+
+// objectiveFor is like Planner.objective for known critical paths.
+func (j *job) objectiveFor(paths []time.Duration, due time.Time) time.Time {
+	return due.Add(time.Duration(j.queue.Stretch*float64(longest(paths))) + j.queue.Target)
 }
 
 // endsInTime reports whether the job is expected to meet its objective as far as
 // that depends on the run. The caller holds the lock.
 func (p *Planner) endsInTime(pl *placement, now time.Time) bool {
-	j := pl.job
-	after := p.criticalPath(j, pl.id.Step) - p.estimator.Estimate(j.estimationJob(pl.step)).Median
-	return !p.expectedEnd(pl, now).Add(after).After(p.objective(j, j.spec.Due(pl.id.Occurrence)))
+	j, paths := pl.job, p.criticalPaths(pl.job)
+	objective := j.objectiveFor(paths, j.spec.Due(pl.id.Occurrence))
+	return !p.expectedEnd(pl, now).Add(j.pathAfter(paths, pl.id.Step)).After(objective)
 }
 
 // expectedEnd returns when the run is expected to end by itself. A run that is
--- a/scheduler/control/stopping_test.go
+++ b/scheduler/control/stopping_test.go
@@ -154,3 +154,19 @@
 		}
 	}
 }
+
+// TestSparingEnds guards against jobs that are spared for the rest of their lives
+// after one stop, such as large or recurring ones.
+func TestSparingEnds(t *testing.T) {
+	start := time.Unix(1000, 0)
+	j := &job{}
+	if j.stoppedRecently(start) {
+		t.Error("a job that was never stopped is spared")
+	}
+	j.stoppedAt = start
+	for age, want := range map[time.Duration]bool{0: true, stopSparingTime - 1: true, stopSparingTime: false} {
+		if got := j.stoppedRecently(start.Add(age)); got != want {
+			t.Errorf("%v after a stop: spared %v, want %v", age, got, want)
+		}
+	}
+}
