control, assignment: bound the waits that reserves and stops cause

Cause: work that can only use marked workers (data, label, a gang of a whole rack) waited without limit while over half of the service was in use. Marking a reserve scanned and sorted all workers for each block. A run counted as about to end up to 1.2 s after the order to stop it, past the time limit of a stop, and a reservation for it ran 1.2 s more, so that guaranteed work could wait long for a worker that does not answer.

Change: a group that has waited for placementTimeout and would not fit on the unmarked workers if they were idle ignores the marks. Each rack is scanned and sorted once for a shape. A stop counts up to StopTimeout; a reservation without a new stop ends with the stops that it waits for, and 1.2 s after the group became ready at the latest. Guaranteed groups that have been ready for 1 s ignore runs that are being stopped.

TestPinnedWorkDoesNotWaitForever fails on the code before. Tests with -race -short pass.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -160,6 +160,9 @@
 	// Group and Workers are positions in the view.
 	Group   int
 	Workers []int
+	// Victims are the runs that use the capacity, as positions in View.Running. They
+	// are stopped by the decision or end without that.
+	Victims []int
 }
 
 // Decision lists the runs to start and to stop. Stops are positions in
@@ -204,6 +207,8 @@
 	// reservedWorkers marks the workers that less urgent work must leave free; nil
 	// if there are none.
 	reservedWorkers []bool
+	// unreserved holds the workers of accepting that are not marked.
+	unreserved pool
 	// sparesReserved is set while a group is placed that must leave them free.
 	sparesReserved bool
 	// rackIndex is the index of each rack by name, workerRack the index of each
@@ -220,6 +225,9 @@
 	// sparesStopped excludes the runs of jobs that were stopped before from the
 	// victims.
 	sparesStopped bool
+	// ignoresStopping excludes the runs that are being stopped already from the
+	// victims.
+	ignoresStopping bool
 	// blockedReservations counts the blocked gangs for which capacity is reserved.
 	blockedReservations int
 	result              Decision
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -53,6 +53,8 @@
 	}
 	if d.view.Now.Sub(g.ReadySince) >= runEndTimeout {
 		d.ignoreExpectedEnds()
+		d.ignoresStopping = true
+		defer func() { d.ignoresStopping = false }()
 	}
 	reason := StopForGuarantee
 	best := d.plan(g, d.accepting, victimsBorrowed)
@@ -80,7 +82,7 @@
 		r.Borrowed, r.EndsSoon = false, false
 	}
 	d.victims = nil
-	d.result.Reservations = append(d.result.Reservations, Reservation{Group: position, Workers: p.slots})
+	d.result.Reservations = append(d.result.Reservations, Reservation{Group: position, Workers: p.slots, Victims: p.victims})
 	d.reserveSlots(&d.view.Groups[position], p.slots)
 }
 
@@ -222,7 +224,7 @@
 	if d.victims == nil {
 		d.victims = map[victimKey]map[int][]int{}
 	}
-	key := victimKey{scope, d.sparesStopped}
+	key := victimKey{scope, d.sparesStopped, d.ignoresStopping}
 	byWorker := d.victims[key]
 	if byWorker == nil {
 		byWorker = map[int][]int{}
--- a/scheduler/assignment/reserve.go
+++ b/scheduler/assignment/reserve.go
@@ -42,49 +42,88 @@
 			}
 		}
 		left := min(s.Workers, int(maxReserveShare*float64(inService)))
+		racks := d.reservableWorkers(s)
 		for left > 0 {
-			block := d.bestBlock(s, min(left, max(s.Block, 1)))
-			if len(block) == 0 {
+			n := min(left, max(s.Block, 1))
+			best := bestRack(racks, n)
+			if best == nil {
 				break
 			}
+			block := best.take(n)
 			for _, w := range block {
 				d.reservedWorkers[w] = true
 			}
 			left -= len(block)
 		}
 	}
+	if d.reservedWorkers != nil {
+		d.unreserved = d.pool(func(*Worker) bool { return true }).without(d.reservedWorkers)
+	}
+}
+
+// without returns the workers of the pool that are not marked.
+func (p pool) without(marked []bool) pool {
+	isMarked := func(w int) bool { return marked[w] }
+	p.workers = slices.DeleteFunc(p.workers, isMarked)
+	for i := range p.racks {
+		p.racks[i] = slices.DeleteFunc(p.racks[i], isMarked)
+	}
+	return p
+}
+
+// reservableRack is the unmarked workers of a rack, idle ones first and then those
+// with most free accelerators.
+type reservableRack struct {
+	workers []int
+	idle    int
+}
+
+// take removes up to n workers from the rack and returns them.
+func (r *reservableRack) take(n int) []int {
+	block := r.workers[:min(n, len(r.workers))]
+	r.workers, r.idle = r.workers[len(block):], max(r.idle-n, 0)
+	return block
 }
 
-// bestBlock returns up to n unmarked workers of the rack that is closest to having
-// n idle ones.
-func (d *decider) bestBlock(s ReservedShape, n int) []int {
-	var best []int
-	bestIdle, bestSpare := 0, 0
-	for _, workers := range d.accepting.racks {
-		var eligible []int
-		idle := 0
+// reservableWorkers returns the unmarked workers of each rack that serve the
+// shape.
+func (d *decider) reservableWorkers(s ReservedShape) []reservableRack {
+	racks := make([]reservableRack, len(d.accepting.racks))
+	for n, workers := range d.accepting.racks {
+		r := &racks[n]
 		for _, i := range workers {
-			w := &d.view.Workers[i]
-			if !s.accepts(w) || w.Speed < s.MinSpeed || d.reservedWorkers[i] {
+			if w := &d.view.Workers[i]; !s.accepts(w) || w.Speed < s.MinSpeed || d.reservedWorkers[i] {
 				continue
 			}
-			eligible = append(eligible, i)
+			r.workers = append(r.workers, i)
 			if d.idle(i) {
-				idle++
+				r.idle++
 			}
 		}
-		size, spare := min(len(eligible), n), max(idle-n, 0)
-		idle = min(idle, n)
-		// Of racks that are as good, the one with the fewest other idle workers is
-		// taken, so that large blocks stay whole.
-		better := cmp.Or(cmp.Compare(idle, bestIdle), cmp.Compare(size, len(best)), cmp.Compare(bestSpare, spare)) > 0
-		if size == 0 || best != nil && !better {
-			continue
-		}
-		slices.SortStableFunc(eligible, func(a, b int) int {
+		slices.SortStableFunc(r.workers, func(a, b int) int {
 			return cmp.Or(-compareBool(d.idle(a), d.idle(b)), cmp.Compare(d.free[b].Accelerators, d.free[a].Accelerators))
 		})
-		best, bestIdle, bestSpare = eligible[:size], idle, spare
+	}
+	return racks
+}
+
+// bestRack returns the rack that is closest to having n idle workers, or nil if no
+// workers are left. Of racks that are as good, the one with the fewest other idle
+// workers is taken, so that large blocks stay whole.
+func bestRack(racks []reservableRack, n int) *reservableRack {
+	var best *reservableRack
+	for i := range racks {
+		r := &racks[i]
+		if len(r.workers) == 0 {
+			continue
+		}
+		if best == nil || cmp.Or(
+			cmp.Compare(min(r.idle, n), min(best.idle, n)),
+			cmp.Compare(min(len(r.workers), n), min(len(best.workers), n)),
+			cmp.Compare(max(best.idle-n, 0), max(r.idle-n, 0)),
+		) > 0 {
+			best = r
+		}
 	}
 	return best
 }
@@ -95,5 +134,15 @@
 // keepsReserved reports whether the group leaves the marked workers free. Work
 // under a guarantee never does.
 func (d *decider) keepsReserved(g *Group) bool {
-	return d.reservedWorkers != nil && g.Priority > 0 && !g.Guaranteed && !d.mayRelaxPlacement(g)
+	return d.reservedWorkers != nil && g.Priority > 0 && !g.Guaranteed && !d.mayRelaxPlacement(g) && !d.needsReserved(g)
+}
+
+// needsReserved reports whether the group has waited for placementTimeout and
+// would not fit on the unmarked workers even if they were idle, such as a group
+// whose data or label is only on marked ones.
+func (d *decider) needsReserved(g *Group) bool {
+	if d.view.Now.Sub(g.ReadySince) < placementTimeout || d.fitsCompactWhenEmpty(g, d.unreserved) {
+		return false
+	}
+	return d.fitsCompactWhenEmpty(g, d.accepting) || !d.fitsWhenEmpty(g, d.unreserved.workers)
 }
--- a/scheduler/assignment/reserve_test.go
+++ b/scheduler/assignment/reserve_test.go
@@ -171,3 +171,47 @@
 		}
 	}
 }
+
+// TestPinnedWorkDoesNotWaitForever guards against work that never starts because
+// all workers that it can use are reserved.
+func TestPinnedWorkDoesNotWaitForever(t *testing.T) {
+	for name, pin := range map[string]func(v *View){
+		"rack of the data": func(v *View) { v.Groups[0].Rack = "r0" },
+		"label": func(v *View) {
+			v.Groups[0].Label = "big"
+			for i := range 4 {
+				v.Workers[i].Labels = []string{"big"}
+			}
+		},
+		"gang that needs a whole rack": func(v *View) {
+			v.Groups[0] = gangGroup("bulk", 8, 8)
+			v.Groups[0].Priority = 2
+			for i := 12; i < 16; i++ {
+				v.Workers[i].AcceptsTasks = false
+			}
+		},
+		"none": func(*View) {},
+	} {
+		for waited, starts := range map[time.Duration]bool{0: false, placementTimeout: name != "none"} {
+			v := View{Now: now, Workers: idleRacks(2), Groups: []Group{tightBulk(4)}, ReservedShapes: []ReservedShape{{Service: "s", Workers: 8, Block: 8}}}
+			// More than half of the service is in use, by work on the other rack.
+			for i := 8; i < 16; i++ {
+				v.Workers[i].Free = batch.Resources{}
+			}
+			v.Workers[0].Free.MilliCPU -= 1000
+			pin(&v)
+			v.Groups[0].ReadySince = now.Add(-waited)
+			if got := len(Decide(v).Starts) > 0; got != starts {
+				t.Errorf("%s, waited for %v: started %v, want %v", name, waited, got, starts)
+			}
+		}
+	}
+}
+
+// BenchmarkReservedShapes measures a large reserve of single workers.
+func BenchmarkReservedShapes(b *testing.B) {
+	v := View{Now: now, Workers: idleRacks(44), ReservedShapes: []ReservedShape{{Service: "s", Workers: 170, Block: 1}}}
+	for b.Loop() {
+		Decide(v)
+	}
+}
--- a/scheduler/assignment/stopping.go
+++ b/scheduler/assignment/stopping.go
@@ -55,9 +55,14 @@
 type victimKey struct {
 	scope         victimScope
 	sparesStopped bool
+	// ignoresStopping excludes runs that are being stopped already.
+	ignoresStopping bool
 }
 
 func (k victimKey) allows(r *Running) bool {
+	if r.Stopping && k.ignoresStopping {
+		return false
+	}
 	return k.scope.allows(r) && (!k.sparesStopped || !r.StoppedBefore || r.endsUnstopped())
 }
 
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -69,7 +69,7 @@
 	d := assignment.Decide(v.input)
 	p.applyStops(v, d, now)
 	for _, r := range d.Reservations {
-		s := reservation{expiresAt: now.Add(reservationTime)}
+		s := reservation{expiresAt: v.reservationEnd(r, now)}
 		for _, w := range r.Workers {
 			s.workers = append(s.workers, v.workers[w].info.ID)
 		}
@@ -81,6 +81,32 @@
 	p.instruments.decide.UpdateDuration(start)
 }
 
+// reservationEnd returns when a reservation of the decision expires. One for which
+// no run is newly stopped ends with the stops that it waits for, and early enough
+// for the group to have other runs stopped.
+func (v *decisionView) reservationEnd(r assignment.Reservation, now time.Time) time.Time {
+	full := now.Add(reservationTime)
+	if !v.input.Stopping.Sparing || len(r.Victims) == 0 {
+		return full
+	}
+	var latest time.Time
+	for _, i := range r.Victims {
+		end := full
+		if run := &v.input.Running[i]; run.Stopping {
+			end = v.runs[i][0].stoppedAt.Add(reservationTime)
+		} else if !run.EndsSoon || now.Sub(v.input.Groups[r.Group].ReadySince) >= reservationTime {
+			return full
+		}
+		if end.After(latest) {
+			latest = end
+		}
+	}
+	if limit := v.input.Groups[r.Group].ReadySince.Add(reservationTime); limit.Before(latest) {
+		return limit
+	}
+	return latest
+}
+
 // buildView collects the input of a decision.
 func (p *Planner) buildView(now time.Time) *decisionView {
 	v := &decisionView{input: assignment.View{Now: now}, workerIndex: map[string]int{}}
--- a/scheduler/control/stopping.go
+++ b/scheduler/control/stopping.go
@@ -145,10 +145,10 @@
 }
 
 // endsByStop reports whether the run is being stopped and its resources are about
-// to become free. A stop that takes longer than capacity is reserved for does not
-// count, since the worker may not respond.
+// to become free. A stop that exceeds its time limit does not count, since the
+// worker may not respond.
 func (p *Planner) endsByStop(pl *placement, now time.Time) bool {
-	return p.Timing.statesStopCost() && pl.phase == phaseStopping && now.Sub(pl.stoppedAt) < reservationTime
+	return p.Timing.statesStopCost() && pl.phase == phaseStopping && now.Sub(pl.stoppedAt) < p.Timing.StopTimeout
 }
 
 // endsSoon reports whether a run will end by itself about as soon as it could
--- a/scheduler/control/stopping_test.go
+++ b/scheduler/control/stopping_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/pace"
 	"daisylug.example/scheduler/queue"
@@ -138,6 +139,7 @@
 	}{
 		{"running", stated, phaseRunning, 0, true, false},
 		{"being stopped", stated, phaseStopping, 300 * time.Millisecond, true, true},
+		{"not stopped by the time limit of a stop", stated, phaseStopping, stopTimeout, false, false},
 		{"not stopped in time", stated, phaseStopping, reservationTime, false, false},
 		{"cost of a stop not stated", Timing{StopTimeout: stopTimeout}, phaseStopping, 300 * time.Millisecond, false, false},
 	}
@@ -170,3 +172,32 @@
 		}
 	}
 }
+
+// TestReservationEndsWithItsStops guards against guaranteed work that waits for a
+// worker that does not answer a stop, or for a run that does not end when expected,
+// for so long that other runs are stopped too late for it.
+func TestReservationEndsWithItsStops(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := &decisionView{}
+	v.input.Stopping.Sparing = true
+	v.input.Running = []assignment.Running{{Stopping: true}, {EndsSoon: true}, {}}
+	v.runs = [][]*placement{{{stoppedAt: now.Add(-800 * time.Millisecond)}}, {{}}, {{}}}
+	for _, tt := range []struct {
+		ready   time.Duration
+		victims []int
+		want    time.Duration
+	}{
+		{0, nil, reservationTime},
+		{0, []int{0}, 400 * time.Millisecond},
+		{900 * time.Millisecond, []int{0}, 300 * time.Millisecond},
+		{0, []int{0, 1}, reservationTime},
+		{900 * time.Millisecond, []int{1}, 300 * time.Millisecond},
+		{900 * time.Millisecond, []int{0, 2}, reservationTime},
+		{2 * time.Second, []int{1}, reservationTime},
+	} {
+		v.input.Groups = []assignment.Group{{ReadySince: now.Add(-tt.ready)}}
+		if got := v.reservationEnd(assignment.Reservation{Victims: tt.victims}, now).Sub(now); got != tt.want {
+			t.Errorf("ready for %v, runs %v: %v, want %v", tt.ready, tt.victims, got, tt.want)
+		}
+	}
+}
