--- a/scheduler/control/stopping_test.go
+++ b/scheduler/control/stopping_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/pace"
+	"daisylug.example/scheduler/platform/memory"
 	"daisylug.example/scheduler/queue"
 )
 
@@ -201,3 +204,43 @@
 		}
 	}
 }
+
+// TestGuaranteedStartDespiteSilentWorkers guards against guaranteed work that
+// starts late because it waits for one worker after the other that does not answer
+// a stop.
+func TestGuaranteedStartDespiteSilentWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 8)
+		p, stop := f.startPlanner()
+		defer stop()
+		p.mu.Lock()
+		p.Timing.CheckpointInterval, p.Timing.RestoreTime = 500*time.Millisecond, 250*time.Millisecond
+		p.mu.Unlock()
+		time.Sleep(settleTime)
+		tasks := gang(8, 8)
+		tasks.Gang, tasks.Adjacent, tasks.Checkpoints = false, false, true
+		f.submit(p, batchJob("bulk", "later", "a", "200s", tasks))
+		time.Sleep(3 * time.Second)
+		ids := slices.Sorted(maps.Keys(f.runners))
+		// stopOn stops the run on a worker that does not answer.
+		stopOn := func(id string) {
+			f.runners[id].SetFaults(memory.Faults{Silent: true})
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for _, pl := range p.workers[id].placements {
+				p.stopFor(pl, stopForEvacuation)
+			}
+		}
+		stopOn(ids[0])
+		time.Sleep(800 * time.Millisecond)
+		f.submit(p, batchJob("g", "urgent", "b", "10s", gang(1, 8)))
+		time.Sleep(1100 * time.Millisecond)
+		stopOn(ids[1])
+		time.Sleep(1200 * time.Millisecond)
+		stopOn(ids[2])
+		time.Sleep(600 * time.Millisecond)
+		if n := f.countStarts("g"); n != 1 {
+			t.Errorf("%d starts within 2.9 s, want 1", n)
+		}
+	})
+}
