Merge placing, reserve, speeds and the cost of stops

Enabled by the checkpoint interval or the restore time in the settings; memory where it is the largest share of a group; late urgent work is no demand anywhere.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -23,6 +23,8 @@
 	Speed float64
 	// SpeedKnown is set once the speed has been measured.
 	SpeedKnown bool
+	// CautiousSpeed is the speed to count on while it is unknown, or 0.
+	CautiousSpeed float64
 	// AcceptsTasks is set if the worker accepts new tasks.
 	AcceptsTasks bool
 	// Trust limits what may start on a worker on which runs have failed.
@@ -124,7 +126,13 @@
 	LostWork float64
 	// EndsSoon is set if the run is expected to end about as soon as it could
 	// be stopped.
-	EndsSoon    bool
+	EndsSoon bool
+	// Stopping is set if the run is being stopped already.
+	Stopping bool
+	// StoppedBefore is set if a run of the job was stopped before.
+	StoppedBefore bool
+	// ExpectedEnd is when the run is expected to end by itself, or zero.
+	ExpectedEnd time.Time
 	Allocations []Allocation
 }
 
@@ -144,6 +152,10 @@
 	// Reserve is the number of accelerators to keep free for expected urgent
 	// work.
 	Reserve int64
+	// ReservedShapes is room to keep for expected urgent gangs.
+	ReservedShapes []ReservedShape
+	// Stopping limits which runs are stopped.
+	Stopping StopPolicy
 }
 
 // Reservation keeps capacity on workers for a group until the runs that use it
@@ -152,13 +164,18 @@
 	// Group and Workers are positions in the view.
 	Group   int
 	Workers []int
+	// Victims are the runs that use the capacity, as positions in View.Running. They
+	// are stopped by the decision or end without that.
+	Victims []int
 }
 
 // Decision lists the runs to start and to stop. Stops are positions in
 // View.Running.
 type Decision struct {
-	Starts       []Start
-	Stops        []int
+	Starts []Start
+	Stops  []int
+	// StopCauses has an entry for each stop.
+	StopCauses   []StopCause
 	Reservations []Reservation
 }
 
@@ -175,6 +192,7 @@
 	d.indexRacks()
 	d.accepting = d.pool(func(*Worker) bool { return true })
 	d.reserve = d.cappedReserve()
+	d.reserveShapes()
 	order := rank(v)
 	for _, g := range order {
 		d.placeGroup(g)
@@ -190,15 +208,30 @@
 	accepting pool
 	// reserve is the number of accelerators that less urgent work must leave free.
 	reserve int64
+	// reservedWorkers marks the workers that less urgent work must leave free; nil
+	// if there are none.
+	reservedWorkers []bool
+	// unreserved holds the workers of accepting that are not marked.
+	unreserved pool
+	// sparesReserved is set while a group is placed that must leave them free.
+	sparesReserved bool
 	// rackIndex is the index of each rack by name, workerRack the index of each
 	// worker's rack.
 	rackIndex  map[string]int
 	workerRack []int
 	// freeByRack and candidates are buffers reused by fill.
 	freeByRack []int64
+	// capacity caches the capacity of the workers of each service.
+	capacity   map[string]batch.Resources
 	candidates []candidate
 	// victims caches, by scope and worker, the runs that may be stopped.
-	victims map[victimScope]map[int][]int
+	victims map[victimKey]map[int][]int
+	// sparesStopped excludes the runs of jobs that were stopped before from the
+	// victims.
+	sparesStopped bool
+	// ignoresStopping excludes the runs that are being stopped already from the
+	// victims.
+	ignoresStopping bool
 	// blockedReservations counts the blocked gangs for which capacity is reserved.
 	blockedReservations int
 	// startedLimited counts the tasks started by this decision on workers whose
@@ -261,6 +294,7 @@
 	if g.Priority > 0 && !d.leavesReserve(g) {
 		return
 	}
+	d.sparesReserved = d.keepsReserved(g)
 	slots, waiting := d.chooseWorkers(position)
 	if slots == nil {
 		switch {
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -16,16 +17,20 @@
 	victimsBorrowed
 	// victimsAny are all runs.
 	victimsAny
+	// victimsEnding are the runs that end without a stop.
+	victimsEnding
 )
 
 // allows reports whether the resources of the run may be taken. Those of a run
 // that ends soon always may.
 func (v victimScope) allows(r *Running) bool {
 	switch {
-	case r.EndsSoon || v == victimsAny:
+	case r.endsUnstopped() || v == victimsAny:
 		return true
 	case v == victimsLowerPriority:
 		return r.Borrowed && r.Priority > 0
+	case v == victimsEnding:
+		return false
 	}
 	return r.Borrowed
 }
@@ -38,49 +43,66 @@
 		d.reserveSlots(g, g.ReservedWorkers)
 		return
 	}
+	if d.waitsInsteadOfStopping(g) {
+		if p := d.plan(g, d.accepting, victimsEnding); p != nil {
+			d.applyPlan(position, p, StopForGuarantee)
+		} else {
+			d.reserveForBlocked(g)
+		}
+		return
+	}
 	if d.view.Now.Sub(g.ReadySince) >= runEndTimeout {
 		d.ignoreExpectedEnds()
+		d.ignoresStopping = true
+		defer func() { d.ignoresStopping = false }()
 	}
-	planned := g.afterWait()
+	planned, reason := g.afterWait(), StopForGuarantee
 	best := d.plan(planned, d.accepting, victimsBorrowed)
 	if best == nil && g.NeverStarted {
 		// Running guaranteed work is fragmented so that the group fits nowhere,
 		// so some of it is preempted too. Only a job that has never started may
 		// do that, so that two jobs cannot preempt each other in turn.
-		best = d.plan(planned, d.accepting, victimsAny)
+		best, reason = d.plan(planned, d.accepting, victimsAny), StopForFragmentation
 	}
 	if best != nil {
-		d.applyPlan(position, best)
+		d.applyPlan(position, best, reason)
 	}
 }
 
 // applyPlan stops the victims of a plan, unless they end soon, and reserves its
 // slots for the group.
-func (d *decider) applyPlan(position int, p *plan) {
+func (d *decider) applyPlan(position int, p *plan, reason StopReason) {
+	cause := StopCause{Group: position, Reason: reason, Unneeded: d.meetsObjectiveUnstopped(&d.view.Groups[position], p)}
 	for _, v := range p.victims {
 		r := &d.view.Running[v]
-		if !r.EndsSoon {
+		if !r.endsUnstopped() {
 			d.result.Stops = append(d.result.Stops, v)
+			d.result.StopCauses = append(d.result.StopCauses, cause)
 		}
 		r.Borrowed, r.EndsSoon = false, false
 	}
 	d.victims = nil
-	d.result.Reservations = append(d.result.Reservations, Reservation{Group: position, Workers: p.slots})
+	d.result.Reservations = append(d.result.Reservations, Reservation{Group: position, Workers: p.slots, Victims: p.victims})
 	d.reserveSlots(&d.view.Groups[position], p.slots)
 }
 
 // plan returns the preemption that loses the least work to fit a group into the
 // pool, on the preferred workers if that is possible.
 func (d *decider) plan(g *Group, in pool, scope victimScope) *plan {
-	if p := d.compactPlan(g, in, scope); p != nil {
+	if p := d.compactPlan(g, in, scope, math.Inf(1)); p != nil {
 		return p
 	}
-	return d.evictionPlan(g, in.workers, scope)
+	return d.sparingPlan(math.Inf(1), func() *plan { return d.evictionPlan(g, in.workers, scope) })
 }
 
 // compactPlan is like plan but considers only the preferred workers: the rack of
-// the group's data, any one rack for an adjacent gang, or else all workers.
-func (d *decider) compactPlan(g *Group, in pool, scope victimScope) *plan {
+// the group's data, any one rack for an adjacent gang, or else all workers. A plan
+// that loses more than maxLoss is not preferred for sparing jobs stopped before.
+func (d *decider) compactPlan(g *Group, in pool, scope victimScope, maxLoss float64) *plan {
+	return d.sparingPlan(maxLoss, func() *plan { return d.compactPlanWithin(g, in, scope) })
+}
+
+func (d *decider) compactPlanWithin(g *Group, in pool, scope victimScope) *plan {
 	if g.Rack != "" {
 		return d.evictionPlan(g, d.workersOnRack(in, g.Rack), scope)
 	}
@@ -185,7 +207,7 @@
 			}
 		}
 		chosen = append(chosen, i)
-		if !r.EndsSoon {
+		if !r.endsUnstopped() {
 			loss += r.LostWork
 		}
 		if g.Need.Fits(free) {
@@ -200,13 +222,14 @@
 // then by lost work.
 func (d *decider) victimCandidates(worker int, scope victimScope) []int {
 	if d.victims == nil {
-		d.victims = map[victimScope]map[int][]int{}
+		d.victims = map[victimKey]map[int][]int{}
 	}
-	byWorker := d.victims[scope]
+	key := victimKey{scope, d.sparesStopped, d.ignoresStopping}
+	byWorker := d.victims[key]
 	if byWorker == nil {
 		byWorker = map[int][]int{}
 		for i := range d.view.Running {
-			if !scope.allows(&d.view.Running[i]) {
+			if !key.allows(&d.view.Running[i]) {
 				continue
 			}
 			for _, allocation := range d.view.Running[i].Allocations {
@@ -219,14 +242,14 @@
 			slices.SortStableFunc(runs, func(a, b int) int {
 				x, y := &d.view.Running[a], &d.view.Running[b]
 				return cmp.Or(
-					-compareBool(x.EndsSoon, y.EndsSoon),
+					-compareBool(x.endsUnstopped(), y.endsUnstopped()),
 					-compareBool(x.Borrowed, y.Borrowed),
 					compareBool(x.Priority == 0, y.Priority == 0),
 					cmp.Compare(x.LostWork, y.LostWork),
 				)
 			})
 		}
-		d.victims[scope] = byWorker
+		d.victims[key] = byWorker
 	}
 	return byWorker[worker]
 }
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -19,7 +19,7 @@
 func (d *decider) scoreRack(g *Group, workers, slots []int) rackScore {
 	slowest := len(speedClassBounds)
 	for _, w := range slots {
-		slowest = min(slowest, d.view.Workers[w].speedClass())
+		slowest = min(slowest, speedClass(d.speedFor(g, &d.view.Workers[w])))
 	}
 	return rackScore{speed: d.speedRank(g, slowest), freeSlots: d.freeSlots(g, workers)}
 }
@@ -29,11 +29,11 @@
 // 0.6 of the typical speed.
 var speedClassBounds = [...]float64{0.33, 0.8, 1.25}
 
-// speedClass returns the speed class of the worker, from 0 for the slowest.
-func (w *Worker) speedClass() int {
+// speedClass returns the class of a speed, from 0 for the slowest.
+func speedClass(speed float64) int {
 	class := 0
 	for _, s := range speedClassBounds {
-		if w.Speed >= s {
+		if speed >= s {
 			class++
 		}
 	}
@@ -116,9 +116,10 @@
 const unlimitedSlots = 1 << 20
 
 // measuresSpeed reports whether running the group would measure the unknown speed
-// of the worker: it has several tasks, is not a gang and is not urgent.
+// of the worker: it has several tasks, is not a gang, is not urgent and can afford a
+// slow worker.
 func (d *decider) measuresSpeed(g *Group, w *Worker) bool {
-	return !w.SpeedKnown && !g.Gang && g.Priority > 0 && len(g.Indexes) > 1
+	return !w.SpeedKnown && !g.Gang && g.Priority > 0 && len(g.Indexes) > 1 && d.speedFor(g, w) == w.Speed
 }
 
 // sumFreeByRack sets freeByRack to the free accelerators of the workers.
@@ -135,11 +136,14 @@
 type candidate struct {
 	worker, slots int
 	// measureRank is 0 if the group would measure the worker's speed, else 1.
-	measureRank  int
-	speedRank    int
-	rackFree     int64
-	accelerators int64
-	milliCPU     int64
+	measureRank int
+	speedRank   int
+	rackFree    int64
+	// fit and secondFit are the free resources that best fit compares: the
+	// accelerators and the processor, or the memory and the accelerators for a group
+	// that needs memory most.
+	fit       int64
+	secondFit int64
 }
 
 func (c *candidate) compare(o *candidate) int {
@@ -150,10 +154,10 @@
 		return c.speedRank - o.speedRank
 	case c.rackFree != o.rackFree:
 		return cmp.Compare(c.rackFree, o.rackFree)
-	case c.accelerators != o.accelerators:
-		return cmp.Compare(c.accelerators, o.accelerators)
-	case c.milliCPU != o.milliCPU:
-		return cmp.Compare(c.milliCPU, o.milliCPU)
+	case c.fit != o.fit:
+		return cmp.Compare(c.fit, o.fit)
+	case c.secondFit != o.secondFit:
+		return cmp.Compare(c.secondFit, o.secondFit)
 	}
 	return c.worker - o.worker
 }
@@ -167,6 +171,9 @@
 	candidates := d.candidates[:0]
 	total := 0
 	for _, i := range workers {
+		if d.sparesReserved && d.reservedWorkers[i] {
+			continue
+		}
 		if n := d.slots(g, i, d.free[i]); n > 0 {
 			candidates = append(candidates, candidate{worker: i, slots: n})
 			total += n
@@ -177,14 +184,19 @@
 		return nil
 	}
 	d.sumFreeByRack(workers)
+	byMemory := d.memoryIsScarcest(g)
 	for i := range candidates {
 		c := &candidates[i]
 		w := &d.view.Workers[c.worker]
 		if !d.measuresSpeed(g, w) {
 			c.measureRank = 1
 		}
-		c.speedRank, c.rackFree = d.speedRank(g, w.speedClass()), d.freeByRack[d.workerRack[c.worker]]
-		c.accelerators, c.milliCPU = d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
+		c.speedRank, c.rackFree = d.speedRank(g, speedClass(d.speedFor(g, w))), d.freeByRack[d.workerRack[c.worker]]
+		if byMemory {
+			c.fit, c.secondFit = d.memoryShare(c.worker), d.free[c.worker].Accelerators
+		} else {
+			c.fit, c.secondFit = d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
+		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
 	slots := make([]int, 0, len(g.Indexes))
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -67,15 +67,9 @@
 	start := time.Now()
 	v := p.buildView(now)
 	d := assignment.Decide(v.input)
-	for _, i := range d.Stops {
-		for _, pl := range v.runs[i] {
-			p.Log.Info("preempting run for urgent work", "task", pl.id, "run", pl.run, "worker", pl.worker.info.ID,
-				"loss", v.input.Running[i].LostWork)
-			p.stop(pl)
-		}
-	}
+	p.applyStops(v, d, now)
 	for _, r := range d.Reservations {
-		s := reservation{expiresAt: now.Add(reservationTime)}
+		s := reservation{expiresAt: v.reservationEnd(r, now)}
 		for _, w := range r.Workers {
 			s.workers = append(s.workers, v.workers[w].info.ID)
 		}
@@ -87,6 +81,32 @@
 	p.instruments.decide.UpdateDuration(start)
 }
 
+// reservationEnd returns when a reservation of the decision expires. One for which
+// no run is newly stopped ends with the stops that it waits for, and early enough
+// for the group to have other runs stopped.
+func (v *decisionView) reservationEnd(r assignment.Reservation, now time.Time) time.Time {
+	full := now.Add(reservationTime)
+	if !v.input.Stopping.Sparing || len(r.Victims) == 0 {
+		return full
+	}
+	var latest time.Time
+	for _, i := range r.Victims {
+		end := full
+		if run := &v.input.Running[i]; run.Stopping {
+			end = v.runs[i][0].stoppedAt.Add(reservationTime)
+		} else if !run.EndsSoon || now.Sub(v.input.Groups[r.Group].ReadySince) >= reservationTime {
+			return full
+		}
+		if end.After(latest) {
+			latest = end
+		}
+	}
+	if limit := v.input.Groups[r.Group].ReadySince.Add(reservationTime); limit.Before(latest) {
+		return limit
+	}
+	return latest
+}
+
 // buildView collects the input of a decision.
 func (p *Planner) buildView(now time.Time) *decisionView {
 	v := &decisionView{input: assignment.View{Now: now}, workerIndex: map[string]int{}}
@@ -97,16 +117,18 @@
 		v.workers = append(v.workers, w)
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	cautious := p.unknownSpeed()
 	for i, w := range v.workers {
 		v.workerIndex[w.info.ID] = i
 		v.input.Workers = append(v.input.Workers, assignment.Worker{
 			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.currentSpeed(w, now),
-			SpeedKnown: p.speeds.Known(w.info.ID), AcceptsTasks: p.evacuations.known && w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
+			SpeedKnown: p.speeds.Known(w.info.ID), CautiousSpeed: p.cautiousSpeed(w, cautious, now), AcceptsTasks: p.evacuations.known && w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
 			Trust: p.workerTrust(w, now),
 		})
 	}
-	v.input.Reserve = p.demand.reserve(p.urgentAccelerators())
+	p.setReserve(v, now)
+	v.input.Stopping = p.Timing.stopPolicy()
 	live := p.liveByAcceptance()
 	covered := p.coveredJobs(live)
 	for _, j := range live {
@@ -232,15 +254,11 @@
 func (p *Planner) newGroup(v *decisionView, j *job, occurrence, step int, due time.Time) assignment.Group {
 	s := &j.spec.Steps[step]
 	length := p.criticalPath(j, step)
-	longest := time.Duration(0)
-	for i := range j.spec.Steps {
-		longest = max(longest, p.criticalPath(j, i))
-	}
 	g := assignment.Group{
 		Job: j.spec.ID, Occurrence: occurrence, Step: step,
 		Need: s.AllocatedResources(), Gang: s.Gang, Adjacent: s.Adjacent, Label: s.Label, Rack: s.Rack, MaxPerWorker: s.MaxPerWorker,
 		Service: p.service(j), Priority: j.queue.Priority, Accepted: due, ExpectedDuration: length,
-		Objective: due.Add(time.Duration(j.queue.Stretch*float64(longest)) + j.queue.Target),
+		Objective: p.objective(j, due),
 	}
 	if s.MaxPerWorker > 0 {
 		g.RunningPerWorker = p.tasksPerWorker(j, occurrence, step)
@@ -275,14 +293,29 @@
 // criticalPath returns the expected time from the start of a step to the end of
 // the job.
 func (p *Planner) criticalPath(j *job, step int) time.Duration {
+	return p.criticalPaths(j)[step]
+}
+
+// criticalPaths returns the critical path of each step. The steps of a job depend
+// on earlier ones only.
+func (p *Planner) criticalPaths(j *job) []time.Duration {
+	paths := make([]time.Duration, len(j.spec.Steps))
+	for step := len(paths) - 1; step >= 0; step-- {
+		s := &j.spec.Steps[step]
+		paths[step] = p.estimator.Estimate(j.estimationJob(s)).Median + j.pathAfter(paths, step)
+	}
+	return paths
+}
+
+// pathAfter returns the longest critical path of the steps that depend on a step.
+func (j *job) pathAfter(paths []time.Duration, step int) time.Duration {
 	after := time.Duration(0)
-	for i := step + 1; i < len(j.spec.Steps); i++ {
+	for i := step + 1; i < len(paths); i++ {
 		if slices.Contains(j.spec.Steps[i].DependsOn, step) {
-			after = max(after, p.criticalPath(j, i))
+			after = max(after, paths[i])
 		}
 	}
-	s := &j.spec.Steps[step]
-	return p.estimator.Estimate(j.estimationJob(s)).Median + after
+	return after
 }
 
 // addRuns adds the runs that may be stopped.
@@ -291,15 +324,17 @@
 		job              *job
 		occurrence, step int
 		index            int
+		stopping         bool
 	}
 	indexes := map[key]int{}
 	budget := p.newDisruptionBudget()
 	for i, w := range v.workers {
 		for _, pl := range w.placements {
-			if pl.phase != phaseStarting && pl.phase != phaseRunning || !budget.consume(pl) {
+			stopping := p.endsByStop(pl, now)
+			if !stopping && (pl.phase != phaseStarting && pl.phase != phaseRunning || !budget.consume(pl)) {
 				continue
 			}
-			k := key{pl.job, pl.id.Occurrence, pl.id.Step, pl.id.Index}
+			k := key{pl.job, pl.id.Occurrence, pl.id.Step, pl.id.Index, stopping}
 			if pl.step.Gang {
 				k.index = 0
 			}
@@ -310,47 +345,24 @@
 				v.runs = append(v.runs, nil)
 				v.input.Running = append(v.input.Running, assignment.Running{
 					Job: pl.job.spec.ID, Priority: pl.job.queue.Priority, Borrowed: !covered[pl.job],
+					Stopping: stopping, StoppedBefore: pl.job.stoppedRecently(now),
 				})
 			}
 			v.runs[n] = append(v.runs[n], pl)
 			r := &v.input.Running[n]
 			r.Allocations = append(r.Allocations, assignment.Allocation{Worker: i, Need: pl.step.AllocatedResources()})
-			r.LostWork += pl.lostWork(now)
+			if stopping {
+				continue
+			}
+			r.LostWork += p.lostWork(pl, now)
 			r.EndsSoon = p.endsSoon(pl, now)
+			if end := p.expectedEnd(pl, now); end.After(r.ExpectedEnd) {
+				r.ExpectedEnd = end
+			}
 		}
 	}
 }
 
-// endsSoon reports whether a run will end by itself about as soon as it could
-// be stopped.
-func (p *Planner) endsSoon(pl *placement, now time.Time) bool {
-	const (
-		minProgress = 0.5
-		// maxOverrun is how long after its expected end a run still counts as
-		// about to end.
-		maxOverrun = 300 * time.Millisecond
-	)
-	remaining := p.remainingTime(pl, now)
-	return pl.sampledProgress > minProgress && remaining > -maxOverrun && remaining <= p.Timing.StopTimeout
-}
-
-const (
-	// maxUnsavedTime is the longest time between two checkpoints of a run.
-	maxUnsavedTime = 1 * time.Second
-	// restartTime is the usual time from stopping a run until its work
-	// continues elsewhere: the time to stop it and to restore it.
-	restartTime = 1200 * time.Millisecond
-)
-
-// lostWork returns the work that stopping the run would lose, in core-seconds.
-func (pl *placement) lostWork(now time.Time) float64 {
-	lost := pl.runTime(now)
-	if pl.step.Checkpoints {
-		lost = min(lost, maxUnsavedTime)
-	}
-	return (lost + restartTime).Seconds() * pl.step.Need.Cores()
-}
-
 // applyStarts creates the placements and starts the runs once they are stored.
 func (p *Planner) applyStarts(v *decisionView, starts []assignment.Start) {
 	for _, s := range starts {
@@ -383,11 +395,14 @@
 func (p *Planner) logStarts(v *decisionView, starts []assignment.Start) {
 	for i := 0; i < len(starts); {
 		group := starts[i].Group
-		slowest := math.Inf(1)
+		slowest, unknown := math.Inf(1), 0
 		var workers []string
 		for ; i < len(starts) && starts[i].Group == group; i++ {
 			w := &v.input.Workers[starts[i].Worker]
 			slowest = min(slowest, w.Speed)
+			if !w.SpeedKnown {
+				unknown++
+			}
 			if len(workers) == 0 || workers[len(workers)-1] != w.ID {
 				workers = append(workers, w.ID)
 			}
@@ -395,7 +410,8 @@
 		g, j := &v.input.Groups[group], v.jobs[group]
 		p.Log.Info("tasks placed", "job", g.Job, "occurrence", g.Occurrence, "step", g.Step, "tasks", len(g.Indexes),
 			"run", j.progress.Step(j.spec, g.Occurrence, g.Step).Tasks[starts[i-1].Index].Run, "workers", workers, "slowest", slowest,
-			"covered", g.Guaranteed, "ready", v.input.Now.Sub(g.ReadySince), "age", v.input.Now.Sub(g.Accepted), "reserve", v.input.Reserve)
+			"covered", g.Guaranteed, "ready", v.input.Now.Sub(g.ReadySince), "age", v.input.Now.Sub(g.Accepted), "reserve", v.input.Reserve, "unknownspeed", unknown)
+		p.instruments.countUnknownSpeed(j.spec.Queue, unknown)
 	}
 }
 
--- a/scheduler/control/end.go
+++ b/scheduler/control/end.go
@@ -92,7 +92,7 @@
 		}
 		if pl := w.placements[id]; pl != nil {
 			p.Log.Info("stopping redundant run, work is done", "task", id, "run", pl.run, "worker", w.info.ID)
-			p.stop(pl)
+			p.stopFor(pl, stopForDoneWork)
 		}
 	}
 }
@@ -129,7 +129,7 @@
 		if !pl.step.Gang {
 			p.speeds.Observe(pl.stepKey(), w.info.ID, total)
 		}
-		p.estimator.Observe("", j.spec.Queue, time.Duration(float64(total)*p.speeds.Speed(w.info.ID)))
+		p.estimator.Observe("", j.spec.Queue, time.Duration(float64(total)*p.runSpeed(pl)))
 	}
 	if pl.step.LongRunning {
 		p.requeue(pl)
--- a/scheduler/control/instruments.go
+++ b/scheduler/control/instruments.go
@@ -15,6 +15,11 @@
 	// guaranteeShortfall is the number of guaranteed accelerators that exceed those
 	// of the workers in use.
 	guaranteeShortfall *metrics.Gauge
+	// reservedAccelerators and reservedWorkers are the room kept for urgent work.
+	reservedAccelerators *metrics.Gauge
+	reservedWorkers      *metrics.Gauge
+	// gangSpeeds counts the speeds learned from gangs.
+	gangSpeeds *metrics.Counter
 }
 
 func newInstruments(set *metrics.Set) *instruments {
@@ -25,6 +30,10 @@
 		panics:             set.GetOrCreateCounter("daisylug_planner_faults_total"),
 		withdrawnStarts:    set.GetOrCreateCounter("daisylug_planner_withdrawn_starts_total"),
 		guaranteeShortfall: set.GetOrCreateGauge("daisylug_planner_guarantee_shortfall_accelerators", nil),
+
+		reservedAccelerators: set.GetOrCreateGauge("daisylug_planner_reserved_accelerators", nil),
+		gangSpeeds:           set.GetOrCreateCounter("daisylug_planner_gang_speeds_total"),
+		reservedWorkers:      set.GetOrCreateGauge("daisylug_planner_reserved_workers", nil),
 	}
 }
 
@@ -33,6 +42,27 @@
 	m.set.GetOrCreateCounter(`daisylug_planner_ends_total{queue="` + queue + `",how="` + outcome + `"}`).Inc()
 }
 
+// countStop counts a run that is stopped, and whether its job was expected to meet
+// its objective without that.
+func (m *instruments) countStop(reason stopReason, timely bool) {
+	label := `{reason="` + string(reason) + `"}`
+	m.set.GetOrCreateCounter("daisylug_planner_stops_total" + label).Inc()
+	if timely {
+		m.set.GetOrCreateCounter("daisylug_planner_stops_of_timely_jobs_total" + label).Inc()
+	}
+}
+
+// countUnneededStop counts a run that is stopped for a job that was expected to
+// meet its objective without that.
+func (m *instruments) countUnneededStop(reason stopReason) {
+	m.set.GetOrCreateCounter(`daisylug_planner_unneeded_stops_total{reason="` + string(reason) + `"}`).Inc()
+}
+
+// countUnknownSpeed counts the tasks that start on workers of unknown speed.
+func (m *instruments) countUnknownSpeed(queue string, n int) {
+	m.set.GetOrCreateCounter(`daisylug_planner_unknown_speed_starts_total{queue="` + queue + `"}`).Add(n)
+}
+
 // waitTime returns the histogram of the time from acceptance to the first
 // start.
 func (m *instruments) waitTime(team string) *metrics.Histogram {
