--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -210,7 +210,7 @@
 			g.Guaranteed = covered
 			g.NeverStarted = !j.started
 			g.Idle = j.placementCount == 0
-			parts := splitByRisk(j, g)
+			parts := p.splitByRisk(j, g)
 			for i := range parts {
 				p.applyTrust(j, &parts[i], now)
 			}
--- a/scheduler/control/demand.go
+++ b/scheduler/control/demand.go
@@ -164,7 +164,7 @@
 			capacity[service] = p.largestWorker(service)
 		}
 		workers, perWorker := 0, batch.Resources{}
-		if p.Timing.statesStopCost() {
+		if p.Timing.statesCheapStops() {
 			workers, perWorker = j.gangWorkers(capacity[service])
 		}
 		if workers == 0 {
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -61,9 +61,12 @@
 	// Evacuations returns the data centres to evacuate, and false while it is not
 	// known for certain which they are.
 	Evacuations func() (evacuation.Set, bool)
-	Timing      Timing
-	Log         klog.Logger
-	Metrics     *metrics.Set
+	// MinTrialWorkers is the number of workers from which a service tries failing
+	// workers with one task at a time.
+	MinTrialWorkers int
+	Timing          Timing
+	Log             klog.Logger
+	Metrics         *metrics.Set
 }
 
 // LeaseRenewalGracePeriod is how long leases are still renewed without a
--- a/scheduler/control/stopping.go
+++ b/scheduler/control/stopping.go
@@ -24,12 +24,21 @@
 	maxOverrun = 300 * time.Millisecond
 )
 
-// statesStopCost reports whether the deployment states what a stop costs.
-func (t Timing) statesStopCost() bool { return t.CheckpointInterval > 0 || t.RestoreTime > 0 }
+// maxStatedStopCost is the stated unsaved time and restore time up to which stops are
+// taken to be cheap. Above it the constants that are assumed where nothing is stated
+// are about right.
+const maxStatedStopCost = 1 * time.Second
+
+// statesCheapStops reports whether the deployment states that a stop costs clearly
+// less than is assumed otherwise.
+func (t Timing) statesCheapStops() bool {
+	stated := t.CheckpointInterval > 0 || t.RestoreTime > 0
+	return stated && t.CheckpointInterval+t.RestoreTime <= maxStatedStopCost
+}
 
 // unsavedTime returns the longest time for which the work of a run may be unsaved.
 func (t Timing) unsavedTime() time.Duration {
-	if t.CheckpointInterval > 0 {
+	if t.statesCheapStops() && t.CheckpointInterval > 0 {
 		return t.CheckpointInterval
 	}
 	return maxUnsavedTime
@@ -38,7 +47,7 @@
 // restartTime returns the time from stopping a run until its work continues
 // elsewhere.
 func (t Timing) restartTime() time.Duration {
-	if t.RestoreTime > 0 {
+	if t.statesCheapStops() && t.RestoreTime > 0 {
 		return t.StopTimeout + t.RestoreTime
 	}
 	return defaultRestartTime
@@ -47,7 +56,7 @@
 // stopPolicy returns which runs may be stopped. Where the deployment states the
 // cost of a stop, a stop must also be of use.
 func (t Timing) stopPolicy() assignment.StopPolicy {
-	if !t.statesStopCost() {
+	if !t.statesCheapStops() {
 		return assignment.StopPolicy{}
 	}
 	return assignment.StopPolicy{Sparing: true, Delay: t.StopTimeout}
@@ -148,7 +157,7 @@
 // to become free. A stop that exceeds its time limit does not count, since the
 // worker may not respond.
 func (p *Planner) endsByStop(pl *placement, now time.Time) bool {
-	return p.Timing.statesStopCost() && pl.phase == phaseStopping && now.Sub(pl.stoppedAt) < p.Timing.StopTimeout
+	return p.Timing.statesCheapStops() && pl.phase == phaseStopping && now.Sub(pl.stoppedAt) < p.Timing.StopTimeout
 }
 
 // endsSoon reports whether a run will end by itself about as soon as it could
@@ -164,7 +173,7 @@
 	lost := pl.runTime(now)
 	if pl.step.Checkpoints {
 		lost = min(lost, p.Timing.unsavedTime())
-		if p.Timing.CheckpointInterval > 0 && !pl.checkpointAt.IsZero() {
+		if p.Timing.statesCheapStops() && !pl.checkpointAt.IsZero() {
 			lost = min(lost, now.Sub(pl.checkpointAt))
 		}
 	}
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -14,6 +14,8 @@
 // trustState is the planner's state of the trust in its workers beyond that of each
 // worker.
 type trustState struct {
+	// listed counts the workers of each service in the registry.
+	listed map[string]int
 	// unproven is set if there is an unproven worker.
 	unproven bool
 	// levels counts the workers at each level below the highest.
@@ -32,9 +34,13 @@
 // refreshTrust derives which workers may not be excluded. The caller holds the lock.
 func (p *Planner) refreshTrust(now time.Time) {
 	p.trust.spared, p.trust.unproven = nil, false
+	p.trust.listed = map[string]int{}
 	levels := map[trust.Level]int{}
 	excluded := map[string][]*worker{}
 	for _, w := range p.workers {
+		if w.listed {
+			p.trust.listed[w.info.Service]++
+		}
 		p.trust.unproven = p.trust.unproven || w.trust.Unproven()
 		if !w.trust.Limited() {
 			continue
@@ -50,7 +56,7 @@
 		p.instruments.setTrustLevels(levels)
 	}
 	for service, all := range excluded {
-		excess := trust.ExcessExclusions(len(all), p.listedWorkers(service))
+		excess := trust.ExcessExclusions(len(all), p.trust.listed[service])
 		if excess == 0 {
 			continue
 		}
@@ -64,15 +70,12 @@
 	}
 }
 
-// listedWorkers returns the number of workers of a service in the registry.
-func (p *Planner) listedWorkers(service string) int {
-	n := 0
-	for _, w := range p.workers {
-		if w.listed && w.info.Service == service {
-			n++
-		}
-	}
-	return n
+// usesTrials reports whether workers of the service get trials, and work waits for
+// proven ones. In a small service the workers on trial are a large part of each rack,
+// so that gangs would wait longer than the failures cost; there workers are only
+// excluded for a while.
+func (p *Planner) usesTrials(service string) bool {
+	return p.trust.listed[service] >= p.MinTrialWorkers
 }
 
 // available reports whether the worker may get new tasks and is not excluded.
@@ -84,11 +87,15 @@
 func (p *Planner) workerTrust(w *worker, now time.Time) assignment.WorkerTrust {
 	state := w.trust
 	if !state.Limited() {
-		return assignment.WorkerTrust{Unproven: state.Unproven()}
+		return assignment.WorkerTrust{Unproven: state.Unproven() && p.usesTrials(w.info.Service)}
 	}
 	if p.trust.spared[w] {
 		state = state.WithTrial()
 	}
+	if !p.usesTrials(w.info.Service) {
+		excluded := state.Level(now) == trust.LevelExcluded
+		return assignment.WorkerTrust{Limited: excluded, Excluded: excluded}
+	}
 	inProgress := 0
 	for _, pl := range w.placements {
 		if pl.step.BestEffort {
@@ -107,6 +114,9 @@
 
 // applyTrust sets which workers a group may use with respect to their failures.
 func (p *Planner) applyTrust(j *job, g *assignment.Group, now time.Time) {
+	if !p.usesTrials(g.Service) {
+		return
+	}
 	failures := mostFailures(j, g)
 	// Best-effort tasks may be throttled to no progress and long-running ones do not
 	// end, so that neither proves a worker soon.
@@ -176,8 +186,8 @@
 // so that these need not wait for proven workers as well. Groups of priority 0 and
 // those with a limit for each worker stay whole, because reservations and limits
 // apply to all tasks of a step.
-func splitByRisk(j *job, g assignment.Group) []assignment.Group {
-	if g.Gang || g.Priority == 0 || g.MaxPerWorker > 0 || mostFailures(j, &g) == 0 {
+func (p *Planner) splitByRisk(j *job, g assignment.Group) []assignment.Group {
+	if !p.usesTrials(g.Service) || g.Gang || g.Priority == 0 || g.MaxPerWorker > 0 || mostFailures(j, &g) == 0 {
 		return []assignment.Group{g}
 	}
 	tasks := j.progress.Step(j.spec, g.Occurrence, g.Step).Tasks
--- a/scheduler/control/trustgroup_test.go
+++ b/scheduler/control/trustgroup_test.go
@@ -100,7 +100,7 @@
 			}
 			var trials []bool
 			var proven []time.Time
-			for _, part := range splitByRisk(j, g) {
+			for _, part := range (&Planner{}).splitByRisk(j, g) {
 				p := &Planner{trust: trustState{unproven: true}}
 				p.applyTrust(j, &part, ready)
 				p.applyTrust(j, &part, ready.Add(tt.waited))
