entry: a slow store call counts as one loss; an unknown outcome is not unavailable

A direct call that was cancelled after 0.9 s or more was counted by callDirect and again by its caller or by the handler of relayed calls, and each repeated copy was counted as well, so that one unguarded write on a silent path made it impaired. callDirect now records answers and failures only; the race and the handler record one loss for all copies of a call.

UnknownOutcomeError wrapped the UnavailableError of the direct attempt, so that errors.As found a call without effect in it. It now keeps only the text.

The fake of the tests wrote the flag of a stuck instance while cancelled calls read it; it is atomic now.

--- a/daisylugd/entry/path_test.go
+++ b/daisylugd/entry/path_test.go
@@ -61,7 +61,7 @@
 	store    *RelayingStore
 	handlers sync.Map
 	// stuck lets calls of this instance remain without an answer.
-	stuck  bool
+	stuck  atomic.Bool
 	values map[string][]byte
 }
 
@@ -131,7 +131,7 @@
 	i := slices.IndexFunc(n.network.nodes, func(o *relayNode) bool { return o.name == instance })
 	h, _ := n.network.nodes[i].handlers.Load(method)
 	sleep(ctx, time.Millisecond)
-	if n.network.nodes[i].stuck {
+	if n.network.nodes[i].stuck.Load() {
 		<-ctx.Done()
 		return &member.UnknownOutcomeError{Instance: instance, Method: method, Cause: ctx.Err()}
 	}
@@ -328,7 +328,7 @@
 		n := newRelayNetwork(t, 3)
 		m := n.acquire(t)
 		n.setFaults(memory.Faults{Outage: true}, 0)
-		n.nodes[1].stuck = true
+		n.nodes[1].stuck.Store(true)
 		times := commitTimes(t, m, 40)
 		if times[37] > 20*time.Millisecond {
 			t.Errorf("more than two of 40 transactions were late: %v", times[35:])
@@ -345,9 +345,11 @@
 				n := newRelayNetwork(t, 3)
 				m := n.acquire(t)
 				n.setFaults(memory.Faults{Delay: delay}, 0)
-				n.nodes[1].stuck, n.nodes[2].stuck = true, true
+				n.nodes[1].stuck.Store(true)
+				n.nodes[2].stuck.Store(true)
 				commitTimes(t, m, 2)
-				n.nodes[1].stuck, n.nodes[2].stuck = false, false
+				n.nodes[1].stuck.Store(false)
+				n.nodes[2].stuck.Store(false)
 				times := commitTimes(t, m, 20)
 				if times[15] > 20*time.Millisecond {
 					t.Errorf("transactions take %v", times[10:])
@@ -393,6 +395,10 @@
 					if errors.As(err, &unknown) != (name == "silent") || err == nil {
 						t.Errorf("error %T %v", err, err)
 					}
+					var unavailable *platform.UnavailableError
+					if errors.As(err, &unavailable) == (name == "silent") {
+						t.Errorf("error %v: reported as unavailable: %t", err, name != "silent")
+					}
 				}
 				n.setFaults(memory.Faults{Delay: usualDelay}, n.all()...)
 				time.Sleep(2 * time.Second)
@@ -436,3 +442,68 @@
 		}
 	})
 }
+
+// Guards against an unknown outcome that counts as a call without effect, because the
+// direct attempt failed while a relayed one had no answer.
+func TestUnknownOutcomeIsNotUnavailable(t *testing.T) {
+	r := &race{
+		call: storeCall{write: true}, ways: []storeWay{{}, {relay: "i01"}}, started: 2,
+		failed: map[int]error{0: &platform.UnavailableError{Service: "store"}},
+	}
+	err := r.failure(nil)
+	var unknown *platform.UnknownOutcomeError
+	var unavailable *platform.UnavailableError
+	if !errors.As(err, &unknown) || errors.As(err, &unavailable) {
+		t.Errorf("error %T %v, want only *platform.UnknownOutcomeError", err, err)
+	}
+	if _, err := encodeResponse(platform.Page{}, err); errors.As(err, new(*member.RefusedError)) {
+		t.Errorf("relayed as not executed: %v", err)
+	}
+}
+
+// Guards against one slow call that makes a path impaired, at its caller and at an
+// instance that relayed it.
+func TestSlowCallCountsOnce(t *testing.T) {
+	t.Run("caller", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			n := newRelayNetwork(t, 3)
+			n.setFaults(memory.Faults{Silent: true}, 0)
+			if _, err := n.nodes[0].store.Apply(t.Context(), platform.Batch{}); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			if h := n.nodes[0].store.pathHealth(); h.losses != 1 || h.impaired() {
+				t.Errorf("one slow call: %+v", h)
+			}
+		})
+	})
+	t.Run("caller without an answer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			n := newRelayNetwork(t, 1)
+			n.setFaults(memory.Faults{Silent: true}, 0)
+			if _, err := n.nodes[0].store.List(t.Context(), platform.Range{Table: "t"}); err == nil {
+				t.Fatal("no error")
+			}
+			synctest.Wait()
+			if h := n.nodes[0].store.pathHealth(); h.losses != 1 || h.impaired() {
+				t.Errorf("one slow call: %+v", h)
+			}
+		})
+	})
+	for _, after := range []time.Duration{500 * time.Millisecond, directTimeout, 2 * directTimeout} {
+		t.Run("relay, cancelled after "+after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newRelayNetwork(t, 2)
+				n.setFaults(memory.Faults{Silent: true}, 1)
+				ctx, cancel := context.WithCancel(t.Context())
+				time.AfterFunc(after+time.Millisecond, cancel)
+				message := encodeBatch(platform.Batch{})
+				_ = n.nodes[0].Call(ctx, "i01", methodApply, message, message)
+				synctest.Wait()
+				if h := n.nodes[1].store.pathHealth(); h.losses != 1 || h.impaired() {
+					t.Errorf("one slow call: %+v", h)
+				}
+			})
+		})
+	}
+}
--- a/daisylugd/entry/store.go
+++ b/daisylugd/entry/store.go
@@ -93,10 +93,14 @@
 			}
 			wait, start := time.Duration(m.GetWait())*time.Millisecond, time.Now()
 			page, err := s.callDirect(ctx, wait, func(ctx context.Context) (platform.Page, error) { return f(ctx, m) })
-			if errors.Is(ctx.Err(), context.Canceled) {
-				// The caller was answered another way, which it took later.
+			if ctx.Err() != nil && !isStoreResponse(err) {
 				s.updateHealth(func(h pathHealth) pathHealth {
-					if time.Since(start) < wait+h.hedgeDelay() {
+					limit := directTimeout
+					if errors.Is(ctx.Err(), context.Canceled) {
+						// The caller was answered another way, which it took later.
+						limit = h.hedgeDelay()
+					}
+					if time.Since(start) < wait+limit {
 						return h
 					}
 					return h.withLoss(time.Now())
@@ -156,7 +160,8 @@
 	})
 }
 
-// callDirect calls the store directly and records what the call tells of the path.
+// callDirect calls the store directly and records an answer or a failure. Whether a
+// call without an answer is a loss is recorded by its callers, once for all copies.
 func (s *RelayingStore) callDirect(ctx context.Context, wait time.Duration, f func(context.Context) (platform.Page, error)) (platform.Page, error) {
 	start := time.Now()
 	page, err := f(ctx)
@@ -166,8 +171,6 @@
 		s.updateHealth(func(h pathHealth) pathHealth { return h.withAnswer(took, wait == 0) })
 	case ctx.Err() == nil:
 		s.updateHealth(func(h pathHealth) pathHealth { return h.withFailure(time.Now()) }, "error", err)
-	case took >= wait+directTimeout:
-		s.updateHealth(func(h pathHealth) pathHealth { return h.withLoss(time.Now()) }, "error", err)
 	}
 	return page, err
 }
--- a/daisylugd/entry/storecall.go
+++ b/daisylugd/entry/storecall.go
@@ -54,6 +54,8 @@
 	// holds the relays.
 	impaired, complete bool
 	results            chan wayResult
+	// directAt is when the call was first sent directly, or zero.
+	directAt time.Time
 	// started is the number of ways taken, failed those that have failed.
 	started int
 	failed  map[int]error
@@ -114,6 +116,7 @@
 			stalled = false
 			reset(r.startLate(ctx))
 		case <-ctx.Done():
+			r.abandon()
 			if parent.Err() == nil {
 				return platform.Page{}, r.failure(context.DeadlineExceeded)
 			}
@@ -126,6 +129,9 @@
 func (r *race) start(ctx context.Context) time.Duration {
 	index, way := r.started, r.ways[r.started]
 	r.started++
+	if way.relay == "" && r.directAt.IsZero() {
+		r.directAt = time.Now()
+	}
 	go func() {
 		result := wayResult{index: index}
 		if way.relay == "" {
@@ -229,7 +235,7 @@
 		s.budget = s.budget.withSuccess()
 		s.mu.Unlock()
 	}
-	otherRelays := false
+	otherRelays, directLost := false, false
 	for i, w := range r.ways[:r.started] {
 		_, failed := r.failed[i]
 		otherRelays = otherRelays || w.relay != "" && !failed
@@ -238,19 +244,45 @@
 		case w.relay != "":
 			s.avoidRelay(w.relay)
 		case r.ways[winner].relay != "":
-			s.updateHealth(func(h pathHealth) pathHealth { return h.withLoss(time.Now()) }, "error", "no answer")
+			directLost = true
 		}
 	}
+	if directLost {
+		r.recordLoss()
+	}
 	if r.ways[winner].relay == "" && r.impaired && !otherRelays {
 		// No other way has worked, so that the direct path is as good as any.
 		s.updateHealth(pathHealth.withRecovery)
 	}
 }
 
+// abandon records that the call ended without a response.
+func (r *race) abandon() {
+	if !r.directAt.IsZero() && time.Since(r.directAt) >= r.call.wait+directTimeout && !r.directFailed() {
+		r.recordLoss()
+	}
+}
+
+// directFailed reports whether a direct copy of the call has failed.
+func (r *race) directFailed() bool {
+	for i := range r.failed {
+		if r.ways[i].relay == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// recordLoss records that the direct path had no answer to the call.
+func (r *race) recordLoss() {
+	r.store.updateHealth(func(h pathHealth) pathHealth { return h.withLoss(time.Now()) }, "error", "no answer")
+}
+
 // failure returns the error of a call without a response. If a write may have been
 // executed on any way, the outcome is unknown.
 func (r *race) failure(cause error) error {
 	var first error
+	var unavailable *platform.UnavailableError
 	unknown := len(r.failed) < r.started
 	for i := range r.started {
 		err, ok := r.failed[i]
@@ -260,7 +292,6 @@
 		if first == nil || r.ways[i].relay == "" {
 			first = err
 		}
-		var unavailable *platform.UnavailableError
 		var notExecuted *member.NotExecutedError
 		unknown = unknown || !errors.As(err, &unavailable) && !errors.As(err, &notExecuted)
 	}
@@ -268,9 +299,12 @@
 		first = cause
 	}
 	if r.call.write && unknown {
+		if errors.As(first, &unavailable) {
+			// The error of one attempt must not tell that the call had no effect.
+			first = errors.New(first.Error())
+		}
 		return &platform.UnknownOutcomeError{Service: "store", Cause: first}
 	}
-	var unavailable *platform.UnavailableError
 	if errors.As(first, &unavailable) {
 		return first
 	}
