entry: a submission without a planner ends as unavailable, not as refused

A refused job never runs. The instance knows only the attempts of the present call: a caller that repeats a job after a 504, and then finds no planner, was told that the job never runs although the first attempt may be stored. The response is OutcomeUnavailable again, as early as before and with the same Retry-After.

--- a/daisylugd/entry/call.go
+++ b/daisylugd/entry/call.go
@@ -28,8 +28,8 @@
 	plannerTimeout = 1 * time.Second
 	// plannerRetryDelay is the delay between two attempts to reach the planner.
 	plannerRetryDelay = 60 * time.Millisecond
-	// responseMargin is the part of the time of a caller that is left for the refusal
-	// of a submission that cannot be forwarded.
+	// responseMargin is the part of the time of a caller that is left for the response
+	// to a submission that cannot be forwarded.
 	responseMargin = 100 * time.Millisecond
 	// noPlannerRetryAfter is the retry delay sent to callers while there is no
 	// planner.
@@ -137,7 +137,7 @@
 		}
 		sleep(ctx, plannerRetryDelay)
 	}
-	return a.failure(method)
+	return a.failure()
 }
 
 // attempts sums up the attempts of one call of the planner. Values are immutable.
@@ -177,14 +177,12 @@
 }
 
 // failure returns the response to the caller if no attempt has succeeded. A
-// submission is refused if no attempt can have been executed.
-func (a attempts) failure(method string) control.Response {
+// submission is not refused, because an earlier call with the same job may have been
+// executed, and a refused job never runs.
+func (a attempts) failure() control.Response {
 	outcome := control.OutcomeUnavailable
-	switch {
-	case a.unknown:
+	if a.unknown {
 		outcome = control.OutcomeUnknown
-	case method == methodSubmit:
-		outcome = control.OutcomeRefused
 	}
 	return control.Response{Outcome: outcome, RetryAfter: noPlannerRetryAfter, Reason: a.reason}
 }
