entry: a nomination is withdrawn; a named successor checks at intervals

A nomination remained announced until its announcer became planner again, so that an instance that joined later took it as new and kept the pause after a hand-over. The announcer withdraws it when it sees a later term, or after the pause.

A named successor checked the leader at each change of the group while no leader was known, each time with a read of the store and a connection. It now waits at least 50 ms between checks, and copies the peers only if it is named.

--- a/daisylugd/entry/handover_test.go
+++ b/daisylugd/entry/handover_test.go
@@ -214,3 +214,63 @@
 		})
 	}
 }
+
+// Guards against a nomination that is announced for as long as its announcer does not
+// become planner again: an instance that joins later would take it as new.
+func TestNominationIsWithdrawn(t *testing.T) {
+	s := newCluster(t, 3)
+	planner := s.waitReady(t)
+	successor := (planner + 1) % 3
+	e := s.servers[planner]
+	p := e.planner.Load()
+	e.handOver(t.Context(), p, p.Status().Generation, handOver{true, s.servers[successor].settings.Name, reasonPath})
+	waitFor(t, "no successor", func() bool { return s.plannerIndex() == successor })
+	waitFor(t, "the nomination is still announced", func() bool {
+		content, ok := s.servers[successor].group.Value(e.settings.Name, valueSuccessor)
+		return !ok || len(content) == 0
+	})
+
+	now := time.Now()
+	var n succession
+	n.announce(nomination{3, "a"}, now)
+	if n.withdraw(3, now.Add(handOverPause-1)) {
+		t.Error("withdrawn while it is needed")
+	}
+	if !n.withdraw(0, now.Add(handOverPause)) || n.withdraw(0, now.Add(handOverPause)) {
+		t.Error("not withdrawn once after the pause")
+	}
+	if _, seenAt := n.get(); !seenAt.Equal(now) {
+		t.Error("the pause is forgotten")
+	}
+}
+
+// Guards against a read of the store and a connection with each change of the group
+// while a named successor waits for the end of the term.
+func TestSuccessorChecksAtIntervals(t *testing.T) {
+	s := newCluster(t, 1)
+	s.waitReady(t)
+	s.stops[0]()
+	e := s.servers[0]
+	waitFor(t, "the planner still runs", func() bool { return e.planner.Load() == nil })
+	e.succession.record(nomination{1 << 40, e.settings.Name}, time.Now())
+	changes := make(chan struct{})
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case changes <- struct{}{}:
+			}
+		}
+	}()
+	start, checks := time.Now(), 0
+	for time.Since(start) < 300*time.Millisecond {
+		e.waitForCheck(t.Context(), changes, electionInterval)
+		checks++
+	}
+	if limit := int(time.Since(start) / minCheckInterval); checks > limit || checks < 3 {
+		t.Errorf("%d checks, want 3 to %d", checks, limit)
+	}
+}
--- a/daisylugd/entry/successor.go
+++ b/daisylugd/entry/successor.go
@@ -22,6 +22,9 @@
 	successorNotice = 50 * time.Millisecond
 	// successorTimeout is how long a named successor looks for the end of the term.
 	successorTimeout = 2 * time.Second
+	// minCheckInterval is the minimum time between two checks of the leader by a named
+	// successor. Each costs a read of the store and a connection to the leader.
+	minCheckInterval = 50 * time.Millisecond
 )
 
 // nomination names the successor of the planner of a generation.
@@ -50,6 +53,10 @@
 	latest nomination
 	// seenAt is when the latest nomination was first seen.
 	seenAt time.Time
+	// announced is the generation of the nomination that this instance announces, or
+	// 0, and announcedAt when it was announced.
+	announced   uint64
+	announcedAt time.Time
 }
 
 // record takes over a nomination of a later generation.
@@ -61,6 +68,26 @@
 	}
 }
 
+// announce takes over a nomination that this instance announces.
+func (s *succession) announce(n nomination, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest, s.seenAt = n, now
+	s.announced, s.announcedAt = n.generation, now
+}
+
+// withdraw reports, once, that this instance need not announce its nomination any
+// longer: a later term than the nominating one is known, or handOverPause is over.
+func (s *succession) withdraw(latestTerm uint64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.announced == 0 || latestTerm <= s.announced && now.Sub(s.announcedAt) < handOverPause {
+		return false
+	}
+	s.announced = 0
+	return true
+}
+
 // get returns the latest nomination and when it was first seen.
 func (s *succession) get() (nomination, time.Time) {
 	s.mu.Lock()
@@ -68,13 +95,20 @@
 	return s.latest, s.seenAt
 }
 
-// readNominations reads the nominations that the other instances announce.
+// readNominations reads the nominations that the other instances announce, and
+// withdraws its own when it is of no more use: an instance that joins later would take
+// it as new.
 func (e *Server) readNominations() {
+	latestTerm := uint64(0)
 	for _, p := range e.group.Peers() {
+		latestTerm = max(latestTerm, leaderGeneration(p))
 		if n, ok := decodeNomination(p.Values[valueSuccessor]); ok {
 			e.succession.record(n, time.Now())
 		}
 	}
+	if e.succession.withdraw(latestTerm, time.Now()) {
+		e.group.SetValue(valueSuccessor, nil)
+	}
 }
 
 // expectsTerm reports whether the planner has just named this instance as its
@@ -86,8 +120,10 @@
 }
 
 // waitForCheck waits until the next check of the leader is due: after d, or as soon
-// as a planner that has named this instance no longer announces its term.
+// as a planner that has named this instance no longer announces its term, but not
+// before minCheckInterval.
 func (e *Server) waitForCheck(ctx context.Context, changes <-chan struct{}, d time.Duration) {
+	start := time.Now()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for {
@@ -99,9 +135,17 @@
 			return
 		case <-changes:
 			e.readNominations()
-			if _, known := e.leaderSilence(); !known && e.expectsTerm() {
+			if !e.expectsTerm() {
+				continue
+			}
+			if _, known := e.leaderSilence(); known {
+				continue
+			}
+			elapsed := time.Since(start)
+			if elapsed >= minCheckInterval {
 				return
 			}
+			timer.Reset(minCheckInterval - elapsed)
 		}
 	}
 }
@@ -185,7 +229,7 @@
 	}
 	e.log.Info("handing over to another instance", "generation", generation, "successor", d.successor, "reason", d.reason)
 	n := nomination{generation, d.successor}
-	e.succession.record(n, time.Now())
+	e.succession.announce(n, time.Now())
 	e.group.PushValue(valueSuccessor, n.encode())
 	sleep(ctx, successorNotice)
 	p.Resign()
