entry: a path does not stay impaired because the store is slow for all

An instance without store calls of its own relays for others, and becomes impaired when they are answered another way first. Its probes ended after 0.4 s, and it had no relayed calls to compare them with, so that with a store that takes 2 s it stayed impaired and went on probing.

The next probe still waits at most 0.4 s, but an answer within 3 s counts. A slow one is compared with a read through a relay if no relayed call is recent; if no relay answers, the path is as good as any. The measured answer time becomes the usual one, so that a slow path is not announced as fast.

--- a/daisylugd/entry/path.go
+++ b/daisylugd/entry/path.go
@@ -147,13 +147,19 @@
 }
 
 // withProbe records a probe of an impaired path. It is good if it was answered
-// before a call would have been hedged, or as fast as relayed calls are.
+// before a call would have been hedged, or about as fast as relayed calls are.
 func (h pathHealth) withProbe(took time.Duration, answered bool) pathHealth {
-	if !answered || took > max(h.hedgeDelay(), h.relayed) {
+	asRelayed := h.relayed + time.Duration(classMargin*float64(h.relayed))
+	if !answered || took > max(h.hedgeDelay(), asRelayed) {
 		h.goodProbes = 0
 		return h
 	}
 	h = h.withAnswer(took, true)
+	if took > h.hedgeDelay() {
+		// The store is slow for others as well, which must not be announced as fast.
+		h.usual = took
+		h.class = h.nextClass()
+	}
 	if h.goodProbes++; h.goodProbes < recoveryProbes {
 		return h
 	}
--- a/daisylugd/entry/path_test.go
+++ b/daisylugd/entry/path_test.go
@@ -507,3 +507,39 @@
 		})
 	}
 }
+
+// Guards against instances without calls of their own whose paths stay impaired, and
+// are probed without end, only because the store is slow for all.
+func TestIdlePathsRecoverIfAllAreSlow(t *testing.T) {
+	for _, delay := range []time.Duration{time.Second, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newRelayNetwork(t, 12)
+				m := n.acquire(t)
+				n.setFaults(memory.Faults{Delay: delay}, n.all()...)
+				n.calls.Store(0)
+				impaired := 0
+				for range 100 {
+					if err := m.Commit(t.Context(), nil, nil); err != nil {
+						t.Fatal(err)
+					}
+					for _, node := range n.nodes {
+						if node.store.pathHealth().impaired() {
+							impaired++
+						}
+					}
+				}
+				t.Logf("%d calls, %d of 1200 times impaired", n.calls.Load(), impaired)
+				if got := n.calls.Load(); got > 250 || impaired > 120 {
+					t.Errorf("%d calls to the store for 100 transactions, %d of 1200 times impaired", got, impaired)
+				}
+				time.Sleep(15 * time.Second)
+				for _, node := range n.nodes {
+					if h := node.store.pathHealth(); h.impaired() {
+						t.Errorf("%s: %+v", node.name, h)
+					}
+				}
+			})
+		})
+	}
+}
--- a/daisylugd/entry/store.go
+++ b/daisylugd/entry/store.go
@@ -261,10 +261,14 @@
 	// impaired path. It doubles while they fail, so that an outage costs few calls.
 	minProbeInterval = 200 * time.Millisecond
 	maxProbeInterval = 800 * time.Millisecond
-	// probeCallTimeout is the timeout of a probe, and maxProbeCallTimeout that of one
-	// while relayed calls are slow as well.
+	// probeCallTimeout is how long the next probe waits for the answer of one, and
+	// maxProbeCallTimeout the timeout of a probe. A later answer still shows whether the
+	// path is as slow as all others.
 	probeCallTimeout    = 400 * time.Millisecond
 	maxProbeCallTimeout = 3 * time.Second
+	// comparisonAge is the age up to which the answer time of relayed calls is compared
+	// with that of a slow probe.
+	comparisonAge = 2 * time.Second
 )
 
 // probePath probes the direct path while it is impaired, until ctx ends.
@@ -286,22 +290,74 @@
 	}
 }
 
-// probe makes a small read on the direct path and reports whether it was answered.
+// probe makes a small read on the direct path and reports whether it was answered
+// within probeCallTimeout. A later answer counts when it arrives.
 func (s *RelayingStore) probe(ctx context.Context) bool {
 	s.instruments.probes.Inc()
-	timeout := min(max(probeCallTimeout, slowFactor*s.pathHealth().relayed), maxProbeCallTimeout)
-	probeCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	start := time.Now()
-	_, err := s.direct.List(probeCtx, platform.Range{Table: instanceTable, Limit: 1})
-	if ctx.Err() != nil {
+	answered := make(chan bool, 1)
+	go func() {
+		probeCtx, cancel := context.WithTimeout(ctx, maxProbeCallTimeout)
+		defer cancel()
+		start := time.Now()
+		_, err := s.direct.List(probeCtx, probeRange)
+		took := time.Since(start)
+		if ctx.Err() == nil {
+			s.recordProbe(ctx, took, err == nil)
+		}
+		answered <- err == nil
+	}()
+	timer := time.NewTimer(probeCallTimeout)
+	defer timer.Stop()
+	select {
+	case ok := <-answered:
+		return ok
+	case <-timer.C:
 		return false
 	}
+}
+
+// probeRange is the read of a probe.
+var probeRange = platform.Range{Table: instanceTable, Limit: 1}
+
+// recordProbe records the result of a probe. A slow answer is compared with that of
+// a relayed read. If no instance relays it, the path is as good as any.
+func (s *RelayingStore) recordProbe(ctx context.Context, took time.Duration, answered bool) {
+	alone := false
+	if h := s.pathHealth(); answered && h.impaired() && took > h.hedgeDelay() && time.Since(h.relayedAt) > comparisonAge {
+		alone = !s.compareRelays(ctx)
+	}
 	s.updateHealth(func(h pathHealth) pathHealth {
-		if !h.impaired() {
+		switch {
+		case !h.impaired():
 			return h
+		case alone:
+			h.relayed = max(h.relayed, took)
 		}
-		return h.withProbe(time.Since(start), err == nil)
+		return h.withProbe(took, answered)
 	})
-	return err == nil
+}
+
+// compareRelays reads through another instance, which measures relayed calls. It
+// returns false if no instance answers.
+func (s *RelayingStore) compareRelays(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxProbeCallTimeout)
+	defer cancel()
+	// An old measurement, of a time when the store was slow for all, would let a slow
+	// path count as good.
+	s.updateHealth(func(h pathHealth) pathHealth {
+		h.relayed = 0
+		return h
+	})
+	for _, name := range s.relays() {
+		_, err := s.callRelay(ctx, name, storeCall{
+			method: methodList,
+			message: func() *schema.StoreCall {
+				return &schema.StoreCall{Table: probeRange.Table, Limit: int32(probeRange.Limit)}
+			},
+		})
+		if err == nil {
+			return true
+		}
+	}
+	return false
 }
