--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -434,3 +434,30 @@
 		}
 	})
 }
+
+// TestShareInRank guards against shares that outrank guarantees, usefulness, priority
+// or the objective, and against any effect of equal shares.
+func TestShareInRank(t *testing.T) {
+	older, newer := taskGroup("older", 1, 1), taskGroup("newer", 1, 1)
+	older.Accepted = now.Add(-time.Second)
+	older.Share = 0.5
+	tests := []struct {
+		name string
+		// change changes the older group, which has the higher share.
+		change     func(*Group)
+		olderFirst bool
+	}{
+		{"the lower share comes first", func(*Group) {}, false},
+		{"equal shares leave the order by age", func(g *Group) { g.Share = 0 }, true},
+		{"a guarantee comes first", func(g *Group) { g.Guaranteed = true }, true},
+		{"the other has lower priority", func(g *Group) { g.Priority = -1 }, true},
+		{"the other may still be on time", func(g *Group) { g.Share, g.Objective = -1, now.Add(time.Second) }, false},
+	}
+	for _, tt := range tests {
+		o := older
+		tt.change(&o)
+		if got := rank(View{Now: now, Groups: []Group{newer, o}}); (got[0] == 1) != tt.olderFirst {
+			t.Errorf("%s: order %v", tt.name, got)
+		}
+	}
+}
--- a/scheduler/assignment/rank.go
+++ b/scheduler/assignment/rank.go
@@ -15,9 +15,23 @@
 	tierExpired
 )
 
-// lateFactor bounds the time in which a late result is still useful, as a
+// LateFactor bounds the time in which a late result is still useful, as a
 // multiple of the time allowed by the objective. The users' accounting sets it.
-const lateFactor = 3
+const LateFactor = 3
+
+// Usefulness is what the result of a group is expected to be worth to its caller.
+// Lower values are served first.
+type Usefulness int
+
+// Values of Usefulness.
+const (
+	OnTime  Usefulness = tierOnTime
+	Late    Usefulness = tierLate
+	Expired Usefulness = tierExpired
+)
+
+// Usefulness returns what the result is worth if the tasks start now.
+func (g *Group) Usefulness(now time.Time) Usefulness { return Usefulness(g.tier(now)) }
 
 func (g *Group) tier(now time.Time) int {
 	end := now.Add(g.ExpectedDuration)
@@ -25,7 +39,7 @@
 	switch {
 	case !end.After(g.Objective):
 		return tierOnTime
-	case !end.After(g.Accepted.Add(lateFactor * allowed)):
+	case !end.After(g.Accepted.Add(LateFactor * allowed)):
 		return tierLate
 	}
 	return tierExpired
@@ -48,6 +62,7 @@
 			compareBool(tiers[a] == tierExpired, tiers[b] == tierExpired),
 			cmp.Compare(x.Priority, y.Priority),
 			cmp.Compare(tiers[a], tiers[b]),
+			cmp.Compare(x.Share, y.Share),
 			x.Accepted.Compare(y.Accepted),
 			cmp.Compare(x.Job, y.Job),
 		)
