control, adapter: order by shares and refuse useless jobs under overload

Cause: nothing balanced teams or sizes, and nothing was refused for lack of capacity.

Change: applyShares measures the load of each service at most every 200 ms and sets Group.Share while a service is overloaded. checkLoad refuses a job whose result is expected after it is of use, within a budget, and never within 5 s of the planner's start, for guaranteed, timed or long-running jobs. Both are enabled by bounds.reclaim_ms in the settings (Timing.Reclaim); without it order and admission are unchanged. A panic of the forecast accepts the job, because it would otherwise leave the lock held.

--- a/scheduler/control/instruments.go
+++ b/scheduler/control/instruments.go
@@ -49,3 +49,24 @@
 func (m *instruments) evacuatedRuns(dataCentre string) *metrics.Gauge {
 	return m.set.GetOrCreateGauge(`daisylug_planner_evacuated_runs{datacentre="`+dataCentre+`"}`, nil)
 }
+
+// overloaded returns the gauge that is 1 while a service is overloaded.
+func (m *instruments) overloaded(service string) *metrics.Gauge {
+	return m.set.GetOrCreateGauge(`daisylug_planner_overloaded{service="`+service+`"}`, nil)
+}
+
+// pressure returns the gauge of the ratio of the work of a service that is due to
+// its capacity until then.
+func (m *instruments) pressure(service string) *metrics.Gauge {
+	return m.set.GetOrCreateGauge(`daisylug_planner_pressure{service="`+service+`"}`, nil)
+}
+
+// countLoadRefusal counts a submission that would have been too late to be of use.
+// It was accepted nevertheless if the budget for refusals was used up.
+func (m *instruments) countLoadRefusal(queue string, refused bool) {
+	name := "daisylug_planner_load_refusals_total"
+	if !refused {
+		name = "daisylug_planner_load_refusals_waived_total"
+	}
+	m.set.GetOrCreateCounter(name + `{queue="` + queue + `"}`).Inc()
+}
--- /dev/null
+++ b/scheduler/control/ordering_test.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+)
+
+// wholeWorker is a step with one task that takes a whole worker.
+var wholeWorker = batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}, Estimate: 2 * time.Second}
+
+// startLoadTest starts a planner on 8 workers that balances teams and refuses jobs
+// under overload if reclaim is set, and lets it learn run times of 2 s.
+func startLoadTest(t *testing.T, reclaim time.Duration) (*testCluster, *Planner, func()) {
+	f := newTestCluster(t, 8)
+	p, stop := f.startPlanner()
+	p.mu.Lock()
+	p.Timing.Reclaim = reclaim
+	p.mu.Unlock()
+	time.Sleep(settleTime)
+	for i := range 8 {
+		f.submit(p, batchJob(fmt.Sprint("teach", i), "later", "a", "2s", wholeWorker))
+	}
+	time.Sleep(loadWarmUp)
+	return f, p, stop
+}
+
+// trySubmit submits a job and returns the response.
+func (f *testCluster) trySubmit(p *Planner, j *batch.Job) Response {
+	return p.Submit(f.t.Context(), EncodeJob(j, f.config.Queues[j.Queue], f.config.Teams[j.Team].Guaranteed), 0)
+}
+
+// submitBurst submits n jobs of 2 s and returns how many are refused.
+func (f *testCluster) submitBurst(p *Planner, name, team string, n int) int {
+	f.t.Helper()
+	refused := 0
+	for i := range n {
+		switch resp := f.trySubmit(p, batchJob(fmt.Sprint(name, i), "later", team, "2s", wholeWorker)); {
+		case resp.Outcome == OutcomeRefused:
+			refused++
+			if resp.RetryAfter < time.Second || resp.RetryAfter > 30*time.Second || resp.Reason == "" {
+				f.t.Errorf("refused with %+v", resp)
+			}
+		case resp.Outcome != OutcomeAccepted:
+			f.t.Fatalf("%+v", resp)
+		}
+	}
+	return refused
+}
+
+// countShared returns how many groups of the next decision have a share.
+func countShared(p *Planner) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, g := range p.buildView(time.Now()).input.Groups {
+		if g.Share != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// TestTeamsShareUnderOverload guards against a team that waits behind all the work
+// of another, and against a change of the order where it is not enabled.
+func TestTeamsShareUnderOverload(t *testing.T) {
+	for _, reclaim := range []time.Duration{0, maxReclaimTime} {
+		t.Run(fmt.Sprint("reclaim=", reclaim), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, p, stop := startLoadTest(t, reclaim)
+				defer stop()
+				f.submitBurst(p, "a", "a", 40)
+				time.Sleep(time.Second)
+				f.submitBurst(p, "b", "b", 4)
+				time.Sleep(3 * time.Second)
+				started := 0
+				for i := range 4 {
+					started += f.countStarts(fmt.Sprint("b", i))
+				}
+				shared := countShared(p)
+				if enabled := reclaim != 0; started == 4 != enabled || shared > 0 != enabled {
+					t.Errorf("%d of 4 jobs of the other team have started, %d groups have shares", started, shared)
+				}
+			})
+		})
+	}
+}
+
+// TestLoadRefusal guards against jobs that are accepted although their result can
+// only be useless, against refusing those that must not be, and against refusals
+// where they are not enabled.
+func TestLoadRefusal(t *testing.T) {
+	for _, reclaim := range []time.Duration{0, maxReclaimTime} {
+		t.Run(fmt.Sprint("reclaim=", reclaim), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, p, stop := startLoadTest(t, reclaim)
+				defer stop()
+				if n := f.submitBurst(p, "a", "a", 120); n != 0 {
+					t.Errorf("%d jobs refused before the overload has lasted", n)
+				}
+				time.Sleep(time.Second)
+				refused := f.submitBurst(p, "more", "a", 40)
+				if enabled := reclaim != 0; refused > 0 != enabled || refused > 30 {
+					t.Errorf("%d of 40 jobs refused, want at most 30, and none if it is not enabled", refused)
+				}
+				for i := range 4 {
+					timed := batchJob(fmt.Sprint("timed", i), "later", "a", "2s", wholeWorker)
+					timed.FirstDue, timed.Interval, timed.Occurrences = time.Now(), time.Minute, 1
+					lasting := batchJob(fmt.Sprint("lasting", i), "later", "a", "600s", wholeWorker)
+					lasting.Steps[0].LongRunning = true
+					guaranteed := batchJob(fmt.Sprint("guaranteed", i), "urgent", "a", "2s", gang(1, 8))
+					light := batchJob(fmt.Sprint("light", i), "later", "b", "2s", wholeWorker)
+					for _, j := range []*batch.Job{timed, lasting, guaranteed, light} {
+						if resp := f.trySubmit(p, j); resp.Outcome != OutcomeAccepted {
+							t.Errorf("job %s: %+v", j.ID, resp)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestNoRefusalAfterTakeover guards against refusals by a planner that does not know
+// the load yet.
+func TestNoRefusalAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p, stop := startLoadTest(t, maxReclaimTime)
+		f.submitBurst(p, "a", "a", 120)
+		time.Sleep(time.Second)
+		stop()
+		p, stop = f.startPlanner()
+		defer stop()
+		p.mu.Lock()
+		p.Timing.Reclaim = maxReclaimTime
+		p.mu.Unlock()
+		time.Sleep(loadWarmUp - time.Second)
+		if n := f.submitBurst(p, "early", "a", 20); n != 0 {
+			t.Errorf("%d jobs refused within %v", n, loadWarmUp)
+		}
+		time.Sleep(2 * time.Second)
+		if n := f.submitBurst(p, "later", "a", 20); n == 0 {
+			t.Errorf("no job refused after %v", loadWarmUp)
+		}
+	})
+}
+
+// TestForecastThatPanics guards against a fault in the forecast that leaves the
+// planner locked or turns callers away.
+func TestForecastThatPanics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p, stop := startLoadTest(t, maxReclaimTime)
+		defer stop()
+		f.submitBurst(p, "a", "a", 120)
+		time.Sleep(time.Second)
+		p.mu.Lock()
+		p.loads["s"].budgets = nil
+		p.mu.Unlock()
+		if n := f.submitBurst(p, "more", "a", 10); n != 0 || p.instruments.panics.Get() == 0 {
+			t.Errorf("%d jobs refused, %d panics", n, p.instruments.panics.Get())
+		}
+	})
+}
+
+// TestOrderWithoutOverload guards against a change of order or admission while all
+// work can be done in time.
+func TestOrderWithoutOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p, stop := startLoadTest(t, maxReclaimTime)
+		defer stop()
+		for i := range 10 {
+			if n := f.submitBurst(p, fmt.Sprint("a", i, "-"), "a", 12) + f.submitBurst(p, fmt.Sprint("b", i, "-"), "b", 2); n != 0 {
+				t.Errorf("%d jobs refused in round %d", n, i)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if n := countShared(p); n != 0 {
+				t.Errorf("%d groups have shares in round %d", n, i)
+			}
+			time.Sleep(4 * time.Second)
+		}
+	})
+}
+
+// TestRefusable guards against refusing jobs that a guarantee can cover, and against
+// refusals by a planner that has just started or was paused.
+func TestRefusable(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := &Planner{startedAt: start}
+	p.Config = func() *Config { return &Config{Teams: map[string]Team{"a": {Guaranteed: 16}}} }
+	tests := []struct {
+		name     string
+		team     string
+		priority int
+		gang     batch.Step
+		after    time.Duration
+		paused   time.Duration
+		want     bool
+	}{
+		{"covered by the guarantee", "a", 0, gang(2, 8), time.Minute, 0, false},
+		{"larger than the guarantee", "a", 0, gang(3, 8), time.Minute, 0, true},
+		{"of a team without a guarantee", "b", 0, gang(1, 8), time.Minute, 0, true},
+		{"of lower priority", "a", 1, gang(1, 8), time.Minute, 0, true},
+		{"right after the start", "a", 1, gang(1, 8), loadWarmUp - time.Second, 0, false},
+		{"right after a pause", "a", 1, gang(1, 8), time.Minute, 58 * time.Second, false},
+	}
+	for _, tt := range tests {
+		p.resumedAt = start.Add(tt.paused)
+		j := &job{spec: &batch.Job{Team: tt.team, Steps: []batch.Step{tt.gang}}, queue: Queue{Priority: tt.priority}}
+		if got := p.refusable(j, start.Add(tt.after)); got != tt.want {
+			t.Errorf("a job %s: refusable %t", tt.name, got)
+		}
+	}
+	p.Config = func() *Config { return nil }
+	if p.refusable(&job{spec: &batch.Job{Steps: []batch.Step{gang(1, 8)}}}, start.Add(time.Minute)) {
+		t.Error("an urgent job may be refused while the guarantees are not known")
+	}
+}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -42,6 +42,10 @@
 	Heartbeat time.Duration
 	// Retention is how long the state of an ended job stays readable.
 	Retention time.Duration
+	// Reclaim is the time within which guaranteed tasks must have started, or 0 if
+	// the deployment sets none. If it is set, teams are balanced and jobs may be
+	// refused under overload.
+	Reclaim time.Duration
 }
 
 // Dependencies are the services that a planner uses.
@@ -112,6 +116,9 @@
 	// learned holds what earlier planners have learned.
 	learned learnedState
 	demand  demand
+	// loads holds the load of each service, loadsMeasuredAt when it was measured.
+	loads           map[string]*serviceLoad
+	loadsMeasuredAt time.Time
 	// lastCleanup is when obsolete jobs were last searched for.
 	lastCleanup time.Time
 	// lastDecision is when the latest decision ended, decisionTime how long it
@@ -181,6 +188,7 @@
 		live:           map[string]*job{},
 		unreadable:     map[string]bool{},
 		workers:        map[string]*worker{},
+		loads:          map[string]*serviceLoad{},
 		dataCentres:    map[string]*dataCentre{},
 		estimator:      queue.NewEstimator(),
 		speeds:         pace.New(),
