--- a/scheduler/control/ordering.go
+++ b/scheduler/control/ordering.go
@@ -48,8 +48,11 @@
 	// free is what workers that accept tasks have free; capacity is that of all
 	// workers that may be used again; remaining is the work of the runs in progress.
 	free, capacity, remaining overload.Amount
-	running                   []overload.Running
-	waiting                   []overload.Waiting
+	// size is the sum of the capacity of all workers, at speed 1.
+	size    overload.Amount
+	workers int
+	running []overload.Running
+	waiting []overload.Waiting
 }
 
 // measureLoads measures the load of each service. Resources count times the speed
@@ -67,11 +70,13 @@
 		if v.input.Workers[i].AcceptsTasks {
 			m.free = m.free.Plus(overload.AmountOf(v.input.Workers[i].Free).Times(speed))
 		}
+		m.size, m.workers = m.size.Plus(overload.AmountOf(w.info.Capacity)), m.workers+1
+		if w.evacuated || w.info.Leaving {
+			continue
+		}
 		// Workers that do not respond or have just disappeared are expected to
 		// return, so that a brief failure does not turn callers away.
-		if !w.evacuated && !w.info.Leaving {
-			m.capacity = m.capacity.Plus(overload.AmountOf(w.info.Capacity).Times(speed))
-		}
+		m.capacity = m.capacity.Plus(overload.AmountOf(w.info.Capacity).Times(speed))
 		for _, pl := range w.placements {
 			need := overload.AmountOf(pl.step.AllocatedResources()).Times(speed)
 			if pl.step.LongRunning {
@@ -80,15 +85,18 @@
 			}
 			remaining := max(p.remainingTime(pl, v.input.Now), 0)
 			m.remaining = m.remaining.Plus(need.For(remaining))
-			if !w.evacuated && !w.info.Leaving {
-				m.running = append(m.running, overload.Running{Need: need, Ends: v.input.Now.Add(remaining)})
-			}
+			m.running = append(m.running, overload.Running{Need: need, Ends: v.input.Now.Add(remaining)})
 		}
 	}
 	for i := range v.input.Groups {
 		g := &v.input.Groups[i]
 		if w, ok := p.waitingLoad(v.jobs[i], g, v.input.Now); ok {
 			m := of(g.Service)
+			if m.workers > 0 && g.Need != (batch.Resources{}) {
+				need := overload.AmountOf(g.Need)
+				occupied := need.Occupied(m.size.Times(1 / float64(m.workers)))
+				w.Occupied = occupied.Times(w.Work.Dominant(need))
+			}
 			m.waiting = append(m.waiting, w)
 		}
 	}
@@ -116,7 +124,7 @@
 func (p *Planner) stepLoad(j *job, step *batch.Step, tasks int) overload.Waiting {
 	e := p.estimator.Estimate(j.estimationJob(step))
 	need := overload.AmountOf(step.AllocatedResources()).Times(float64(tasks))
-	w := overload.Waiting{Team: j.spec.Team, Priority: j.queue.Priority, Need: need, Work: need.For(e.Median)}
+	w := overload.Waiting{Team: j.spec.Team, Priority: j.queue.Priority, Work: need.For(e.Median)}
 	if e.Median > 0 {
 		w.Doubt = float64(e.High-e.Median) / float64(e.Median)
 	}
--- a/scheduler/control/ordering_test.go
+++ b/scheduler/control/ordering_test.go
@@ -218,3 +218,23 @@
 		t.Error("an urgent job may be refused while the guarantees are not known")
 	}
 }
+
+// TestOverloadOfMemory guards against an overload that goes unnoticed because the
+// memory that tasks leave free on each worker fits no other one.
+func TestOverloadOfMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p, stop := startLoadTest(t, maxReclaimTime)
+		defer stop()
+		for i := range 36 {
+			f.submit(p, batchJob(fmt.Sprint("m", i), "later", "a", "2s", batch.Step{
+				Tasks: 1, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 71680}, Estimate: 2 * time.Second,
+			}))
+		}
+		time.Sleep(time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.loads["s"].detector.Overloaded() {
+			t.Error("no overload although a fifth of the tasks cannot be in time")
+		}
+	})
+}
--- a/scheduler/overload/amount.go
+++ b/scheduler/overload/amount.go
@@ -5,6 +5,7 @@
 package overload
 
 import (
+	"math"
 	"time"
 
 	"daisylug.example/scheduler/batch"
@@ -30,6 +31,32 @@
 // duration counts as zero.
 func (a Amount) For(d time.Duration) Amount { return a.Times(max(d, 0).Seconds()) }
 
+// Max returns the larger of a and b for each resource.
+func (a Amount) Max(b Amount) Amount {
+	return Amount{max(a.CPU, b.CPU), max(a.Memory, b.Memory), max(a.Accelerators, b.Accelerators)}
+}
+
+// Occupied returns what a task occupies of a worker if others of its kind fill the
+// worker: the resource that is exhausted first is divided among as many as fit. A task
+// that takes 140 of 256 GB occupies all of them.
+func (a Amount) Occupied(worker Amount) Amount {
+	share := a.Dominant(worker)
+	if share <= 0 || share > 1 {
+		return a
+	}
+	part := 1 / math.Floor(1/share)
+	if ratio(a.CPU, worker.CPU) == share {
+		a.CPU = worker.CPU * part
+	}
+	if ratio(a.Memory, worker.Memory) == share {
+		a.Memory = worker.Memory * part
+	}
+	if ratio(a.Accelerators, worker.Accelerators) == share {
+		a.Accelerators = worker.Accelerators * part
+	}
+	return a
+}
+
 // unavailable is the ratio of a need to a resource of which there is nothing. It
 // is finite, so that sums and differences remain comparable.
 const unavailable = 1e6
--- a/scheduler/overload/detector.go
+++ b/scheduler/overload/detector.go
@@ -9,9 +9,11 @@
 type Waiting struct {
 	Team     string
 	Priority int
-	// Need is what all the tasks need together, Work the same times the run time.
-	Need Amount
-	Work Amount
+	// Work is what all the tasks need together times their run time. Occupied is the
+	// same including what they leave unusable for others of their kind; zero means
+	// that they leave nothing.
+	Work     Amount
+	Occupied Amount
 	// Due is when the tasks must have ended.
 	Due time.Time
 	// Doubt is the share by which run times may be longer or shorter than expected.
@@ -31,6 +33,9 @@
 // work that is due until then to the capacity that is free or becomes free until
 // then. Above 1 the tasks cannot all be done in time in any order.
 func Pressure(now time.Time, free Amount, waiting []Waiting, running []Running) float64 {
+	if len(waiting) == 0 {
+		return 0
+	}
 	waiting, running = slices.Clone(waiting), slices.Clone(running)
 	slices.SortFunc(waiting, func(a, b Waiting) int { return a.Due.Compare(b.Due) })
 	slices.SortFunc(running, func(a, b Running) int { return a.Ends.Compare(b.Ends) })
@@ -46,7 +51,7 @@
 		if w.Due.After(at) {
 			capacity, at = capacity.Plus(free.For(w.Due.Sub(at))), w.Due
 		}
-		work = work.Plus(w.Work)
+		work = work.Plus(w.Work.Max(w.Occupied))
 		pressure = max(pressure, work.Dominant(capacity))
 	}
 	return pressure
--- a/scheduler/overload/overload_test.go
+++ b/scheduler/overload/overload_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// TestOccupied guards against an overload that goes unnoticed because tasks leave
+// parts of each worker that none of them can use.
+func TestOccupied(t *testing.T) {
+	worker := Amount{CPU: 128, Memory: 256, Accelerators: 8}
+	tests := []struct{ need, want Amount }{
+		{Amount{CPU: 52, Memory: 140}, Amount{CPU: 52, Memory: 256}},
+		{Amount{CPU: 5, Memory: 10, Accelerators: 1}, Amount{CPU: 5, Memory: 10, Accelerators: 1}},
+		{Amount{CPU: 5, Memory: 10, Accelerators: 3}, Amount{CPU: 5, Memory: 10, Accelerators: 4}},
+		{Amount{CPU: 200}, Amount{CPU: 200}},
+		{Amount{}, Amount{}},
+	}
+	for _, tt := range tests {
+		if got := tt.need.Occupied(worker); got != tt.want {
+			t.Errorf("%+v occupies %+v, want %+v", tt.need, got, tt.want)
+		}
+	}
+	w := Waiting{Work: cores(50), Occupied: cores(120), Due: now.Add(10 * time.Second)}
+	if got := Pressure(now, cores(10), []Waiting{w}, nil); got != 1.2 {
+		t.Errorf("pressure %v, want 1.2", got)
+	}
+}
+
 // TestHysteresis guards against an order that changes with each job of a service
 // that is just full.
 func TestHysteresis(t *testing.T) {
