overload, control: forecast along free capacity over time

Cause: the forecast divided the remaining work of all runs by the whole capacity, as if every run had to end before a job starts. With half of the accelerators held by runs with 1 h left, a 5 s job was expected to wait for 24 min and refused. Jobs of priority 0 were expected to wait behind runs that they may preempt. Work for a resource that the job does not need delayed it. A job that waited for stopped runs had a pressure of 1e6.

Change: the backlog is done by the capacity that is free or becomes free as runs end, in the resources that the job needs. Jobs of priority 0 are never refused for load; TestRefusable expects this now for jobs above the guarantee too. Stopping runs count as ended in the pressure, and the capacity as at least that of the whole service in 0.5 s. "nothing is free" of TestPressure expected 1e6 and is replaced by two cases with exact values.

TestForecastWithLongRuns, TestRefusable, TestPressure and TestStopIsNoOverload each fail without their change.

--- a/scheduler/control/loadrefusal.go
+++ b/scheduler/control/loadrefusal.go
@@ -78,14 +78,8 @@
 }
 
 // refusable reports whether a job may be refused for load: the planner has had time
-// to learn the load, and no guarantee can cover the job.
+// to learn the load, and the job is not of priority 0. Such jobs may preempt runs of
+// lower priority or be covered by a guarantee, so that the forecast does not apply.
 func (p *Planner) refusable(j *job, now time.Time) bool {
-	if now.Sub(p.startedAt) < loadWarmUp || now.Sub(p.resumedAt) < loadWarmUp {
-		return false
-	}
-	if j.queue.Priority > 0 {
-		return true
-	}
-	config := p.Config()
-	return config != nil && j.peakAccelerators() > config.Teams[j.spec.Team].Guaranteed
+	return j.queue.Priority > 0 && now.Sub(p.startedAt) >= loadWarmUp && now.Sub(p.resumedAt) >= loadWarmUp
 }
--- a/scheduler/control/ordering.go
+++ b/scheduler/control/ordering.go
@@ -46,8 +46,8 @@
 // measurement collects the load of a service.
 type measurement struct {
 	// free is what workers that accept tasks have free; capacity is that of all
-	// workers that may be used again; remaining is the work of the runs in progress.
-	free, capacity, remaining overload.Amount
+	// workers that may be used again.
+	free, capacity overload.Amount
 	// size is the sum of the capacity of all workers, at speed 1.
 	size    overload.Amount
 	workers int
@@ -84,7 +84,9 @@
 				continue
 			}
 			remaining := max(p.remainingTime(pl, v.input.Now), 0)
-			m.remaining = m.remaining.Plus(need.For(remaining))
+			if pl.phase == phaseStopping {
+				remaining = 0
+			}
 			m.running = append(m.running, overload.Running{Need: need, Ends: v.input.Now.Add(remaining)})
 		}
 	}
@@ -138,10 +140,10 @@
 		s = &serviceLoad{returns: map[int]overload.Schedule{}, budgets: map[string]overload.Budget{}}
 		p.loads[service] = s
 	}
-	pressure := overload.Pressure(now, m.free, m.waiting, m.running)
+	pressure := overload.Pressure(now, m.size, m.free, m.waiting, m.running)
 	before := s.detector.Overloaded()
 	s.detector = s.detector.WithPressure(pressure, now)
-	s.load = overload.NewLoad(m.capacity, m.remaining, m.waiting)
+	s.load = overload.NewLoad(now, m.capacity, m.running, m.waiting)
 	p.instruments.pressure(service).Set(pressure)
 	if after := s.detector.Overloaded(); after != before {
 		state := 0.0
--- a/scheduler/overload/amount.go
+++ b/scheduler/overload/amount.go
@@ -36,6 +36,30 @@
 	return Amount{max(a.CPU, b.CPU), max(a.Memory, b.Memory), max(a.Accelerators, b.Accelerators)}
 }
 
+// Min returns the smaller of a and b for each resource.
+func (a Amount) Min(b Amount) Amount {
+	return Amount{min(a.CPU, b.CPU), min(a.Memory, b.Memory), min(a.Accelerators, b.Accelerators)}
+}
+
+// Of returns a without the resources that the need does not include.
+func (a Amount) Of(need Amount) Amount {
+	if need.CPU <= 0 {
+		a.CPU = 0
+	}
+	if need.Memory <= 0 {
+		a.Memory = 0
+	}
+	if need.Accelerators <= 0 {
+		a.Accelerators = 0
+	}
+	return a
+}
+
+// covers reports whether a is at least b for each resource.
+func (a Amount) covers(b Amount) bool {
+	return a.CPU >= b.CPU && a.Memory >= b.Memory && a.Accelerators >= b.Accelerators
+}
+
 // Occupied returns what a task occupies of a worker if others of its kind fill the
 // worker: the resource that is exhausted first is divided among as many as fit. A task
 // that takes 140 of 256 GB occupies all of them.
--- a/scheduler/overload/detector.go
+++ b/scheduler/overload/detector.go
@@ -32,7 +32,10 @@
 // Pressure returns the largest ratio, over the times by which tasks are due, of the
 // work that is due until then to the capacity that is free or becomes free until
 // then. Above 1 the tasks cannot all be done in time in any order.
-func Pressure(now time.Time, free Amount, waiting []Waiting, running []Running) float64 {
+//
+// The capacity counts as at least that of the whole service, the total, during
+// enterDelay. A job that waits for stopped runs to end is no overload by itself.
+func Pressure(now time.Time, total, free Amount, waiting []Waiting, running []Running) float64 {
 	if len(waiting) == 0 {
 		return 0
 	}
@@ -52,7 +55,7 @@
 			capacity, at = capacity.Plus(free.For(w.Due.Sub(at))), w.Due
 		}
 		work = work.Plus(w.Work.Max(w.Occupied))
-		pressure = max(pressure, work.Dominant(capacity))
+		pressure = max(pressure, work.Dominant(capacity.Max(total.For(enterDelay))))
 	}
 	return pressure
 }
--- a/scheduler/overload/load.go
+++ b/scheduler/overload/load.go
@@ -9,9 +9,8 @@
 // value has neither.
 type Load struct {
 	capacity Amount
-	// running is the remaining work of the runs in progress.
-	running Amount
-	backlog []backlog
+	curve    []segment
+	backlog  []backlog
 	// length and doubt are the length of the backlog, and the same weighted by the
 	// doubt of its run times.
 	length, doubt float64
@@ -25,11 +24,31 @@
 	onTime, late Amount
 }
 
+// segment is the time between the ends of two runs, during which the free capacity
+// is constant.
+type segment struct {
+	// start is in seconds from now, done what the free capacity adds up to until then.
+	start float64
+	free  Amount
+	done  Amount
+}
+
 // NewLoad returns the load of a service with the given capacity, in units of
-// workers of typical speed, the remaining work of the runs in progress, and the
-// waiting tasks.
-func NewLoad(capacity, running Amount, waiting []Waiting) Load {
-	l := Load{capacity: capacity, running: running}
+// workers of typical speed, the runs in progress, and the waiting tasks.
+func NewLoad(now time.Time, capacity Amount, running []Running, waiting []Waiting) Load {
+	l := Load{capacity: capacity}
+	last := segment{free: capacity}
+	for i := range running {
+		last.free = last.free.Plus(running[i].Need.Times(-1))
+	}
+	for _, r := range slices.SortedFunc(slices.Values(running), func(a, b Running) int { return a.Ends.Compare(b.Ends) }) {
+		if length := r.Ends.Sub(now).Seconds() - last.start; length > 0 {
+			l.curve = append(l.curve, last)
+			last.start, last.done = last.start+length, last.done.Plus(last.free.Max(Amount{}).Times(length))
+		}
+		last.free = last.free.Plus(r.Need)
+	}
+	l.curve = append(l.curve, last)
 	for i := range waiting {
 		l.add(&waiting[i])
 	}
@@ -122,8 +141,8 @@
 // left returns the part of the capacity that later work leaves.
 func (l Load) left(later Amount) float64 { return 1 - min(later.Dominant(l.capacity), maxInflowShare) }
 
-// ahead returns the time, in seconds, in which the capacity does the work that comes
-// before the job. At its own priority the teams are served evenly, so that of each
+// ahead returns the time, in seconds, in which the capacity that runs in progress
+// leave does the work that comes before the job, in the resources that it needs. At its own priority the teams are served evenly, so that of each
 // other team no more comes first than the team of the job has itself.
 func (l Load) ahead(j Job, work func(*backlog) Amount) float64 {
 	own := j.Work
@@ -133,7 +152,7 @@
 		}
 	}
 	limit := own.Dominant(l.capacity)
-	sum := l.running
+	sum := Amount{}
 	for i := range l.backlog {
 		b := &l.backlog[i]
 		w := work(b)
@@ -145,7 +164,21 @@
 		}
 		sum = sum.Plus(w)
 	}
-	return sum.Dominant(l.capacity)
+	return l.timeFor(sum.Of(j.Work))
+}
+
+// timeFor returns the time, in seconds, until the free capacity has done the work. Each
+// run delays it only until its own end: a long run on a part of the capacity does not
+// keep the rest from working.
+func (l Load) timeFor(work Amount) float64 {
+	at, _ := slices.BinarySearchFunc(l.curve, work, func(s segment, work Amount) int {
+		if s.done.covers(work) {
+			return 1
+		}
+		return -1
+	})
+	s := l.curve[max(at-1, 0)]
+	return s.start + work.Plus(s.done.Times(-1)).Dominant(s.free)
 }
 
 // Length returns the time in which the whole capacity does the work.
