overload, control: bound the discount of wide jobs; old loads; faults

Cause: what a job itself uses was not counted in its share, so that a team with one wide job had share 0 and could starve the others. Accepted jobs add to the load, which only a measurement resets, so that a load that was not measured again refused ever more. A panic of the measurement or the shares ended the decision, so that nothing started. A declared run time of 0 without samples counted as certain.

Change: the discount is at most one task of the group, or its gang. Nothing is refused by a measurement older than 2 s. applyShares recovers, counts and logs the panic, and leaves the order by age. Such a run time has a doubt above that for which anything is refused.

--- a/scheduler/control/loadrefusal.go
+++ b/scheduler/control/loadrefusal.go
@@ -15,6 +15,11 @@
 // planner are found, which take a poll of up to 2 s and its repetition.
 const loadWarmUp = 5 * time.Second
 
+// maxLoadAge is the age of a measurement above which nothing is refused for load.
+// Accepted jobs add to the load until the next measurement, so that without one the
+// load only grows. Decisions measure it about every 200 ms.
+const maxLoadAge = 2 * time.Second
+
 // checkLoad returns a refusal if the result of a job would come too late to be of
 // use. The caller holds the lock. It uses the backlog that the latest decision has
 // summed up, because it runs for each submission of a burst. Timed and long-running
@@ -38,7 +43,7 @@
 		step := p.stepLoad(j, &spec.Steps[i], spec.Steps[i].Tasks)
 		w.Work, w.Doubt = w.Work.Plus(step.Work), max(w.Doubt, step.Doubt)
 	}
-	if s.detector.Overloaded() && p.refusable(j, now) {
+	if s.detector.Overloaded() && now.Sub(s.measuredAt) < maxLoadAge && p.refusable(j, now) {
 		if resp := p.refuseLate(s, j, w, now); resp.Outcome != 0 {
 			return resp
 		}
--- a/scheduler/control/ordering.go
+++ b/scheduler/control/ordering.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"daisylug.example/scheduler/assignment"
@@ -15,6 +17,8 @@
 	// the work accepted recently.
 	load   overload.Load
 	inflow overload.Inflow
+	// measuredAt is when the latest measurement was completed.
+	measuredAt time.Time
 	// returns holds the times for which refused callers are told to return, by
 	// priority, budgets the refusals by queue.
 	returns map[int]overload.Schedule
@@ -27,8 +31,16 @@
 const loadInterval = 200 * time.Millisecond
 
 // applyShares sets the order of the groups of a view while not all can be done in
-// time. The caller holds the lock.
+// time. The caller holds the lock. If it panics, the groups are ordered by age.
 func (p *Planner) applyShares(v *decisionView) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			p.logLoadPanic(v.input.Now, cause)
+			for i := range v.input.Groups {
+				v.input.Groups[i].Share = 0
+			}
+		}
+	}()
 	if p.Timing.Reclaim == 0 {
 		return
 	}
@@ -43,6 +55,15 @@
 	}
 }
 
+// logLoadPanic counts a panic and logs it unless another was logged recently.
+func (p *Planner) logLoadPanic(now time.Time, cause any) {
+	p.instruments.panics.Inc()
+	if p.instruments.panics.Get() == 1 || now.Sub(p.lastPanicLog) > panicLogInterval {
+		p.lastPanicLog = now
+		p.Log.Error(&PanicError{fmt.Sprint(cause)}, "order under overload panicked", "stack", string(debug.Stack()))
+	}
+}
+
 // measurement collects the load of a service.
 type measurement struct {
 	// free is what workers that accept tasks have free; capacity is that of all
@@ -127,8 +148,11 @@
 	e := p.estimator.Estimate(j.estimationJob(step))
 	need := overload.AmountOf(step.AllocatedResources()).Times(float64(tasks))
 	w := overload.Waiting{Team: j.spec.Team, Priority: j.queue.Priority, Work: need.For(e.Median)}
-	if e.Median > 0 {
+	switch {
+	case e.Median > 0:
 		w.Doubt = float64(e.High-e.Median) / float64(e.Median)
+	case e.Samples == 0:
+		w.Doubt = overload.UnknownDoubt
 	}
 	return w
 }
@@ -143,6 +167,7 @@
 	pressure := overload.Pressure(now, m.size, m.free, m.waiting, m.running)
 	before := s.detector.Overloaded()
 	s.detector = s.detector.WithPressure(pressure, now)
+	s.measuredAt = now
 	s.load = overload.NewLoad(now, m.capacity, m.running, m.waiting)
 	p.instruments.pressure(service).Set(pressure)
 	if after := s.detector.Overloaded(); after != before {
@@ -185,9 +210,13 @@
 			continue
 		}
 		positions = append(positions, i)
+		unit := g.Need
+		if g.Gang {
+			unit = g.Need.Times(len(g.Indexes))
+		}
 		claims = append(claims, overload.Claim{
 			Team: j.spec.Team, Priority: g.Priority, Tier: int(g.Usefulness(v.input.Now)), Class: classes[g.Priority].Of(j.size()),
-			Accepted: g.Accepted, Need: overload.AmountOf(g.Need.Times(len(g.Indexes))), Used: used[j],
+			Accepted: g.Accepted, Need: overload.AmountOf(g.Need.Times(len(g.Indexes))), Used: used[j], Unit: overload.AmountOf(unit),
 		})
 	}
 	for i, share := range overload.Shares(claims, usages, total) {
--- a/scheduler/control/ordering_test.go
+++ b/scheduler/control/ordering_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/overload"
+	"daisylug.example/scheduler/queue"
 )
 
 // wholeWorker is a step with one task that takes a whole worker.
@@ -263,3 +265,55 @@
 		}
 	})
 }
+
+// TestNoRefusalByOldLoad guards against refusals by a load that only grows, because no
+// decision has measured it again.
+func TestNoRefusalByOldLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p, stop := startLoadTest(t, maxReclaimTime)
+		defer stop()
+		f.submitBurst(p, "a", "a", 120)
+		time.Sleep(time.Second)
+		p.mu.Lock()
+		p.loadsMeasuredAt = time.Now().Add(time.Hour)
+		p.mu.Unlock()
+		time.Sleep(maxLoadAge)
+		if n := f.submitBurst(p, "more", "a", 10); n != 0 {
+			t.Errorf("%d jobs refused by a measurement of %v ago", n, maxLoadAge)
+		}
+	})
+}
+
+// TestOrderThatPanics guards against a fault in the measurement or the shares that
+// keeps jobs from starting.
+func TestOrderThatPanics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p, stop := startLoadTest(t, maxReclaimTime)
+		defer stop()
+		p.mu.Lock()
+		p.loads["faulty"] = nil
+		p.mu.Unlock()
+		f.submitBurst(p, "a", "a", 40)
+		time.Sleep(time.Second)
+		if n := f.countStarts("a0"); n != 1 || p.instruments.panics.Get() == 0 {
+			t.Fatalf("%d starts of the first job, %d panics", n, p.instruments.panics.Get())
+		}
+		if n := countShared(p); n != 0 {
+			t.Errorf("%d groups have shares", n)
+		}
+	})
+}
+
+// TestDoubtWithoutRunTimes guards against refusals on a declared run time of 0.
+func TestDoubtWithoutRunTimes(t *testing.T) {
+	p := &Planner{estimator: &queue.Estimator{}}
+	step := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1}}
+	j := &job{spec: &batch.Job{Team: "a", Steps: []batch.Step{step}}}
+	w := p.stepLoad(j, &step, 1)
+	w.Team, w.Work = "a", overload.Amount{CPU: 1}
+	f := overload.NewLoad(time.Now(), overload.Amount{CPU: 1}, nil, []overload.Waiting{{Team: "a", Work: overload.Amount{CPU: 100}}}).
+		Forecast(overload.Job{Team: "a", Work: w.Work, Allowed: time.Second, Useful: 3 * time.Second, Doubt: w.Doubt})
+	if !f.Useful {
+		t.Errorf("refused with a doubt of %v", w.Doubt)
+	}
+}
--- a/scheduler/overload/load.go
+++ b/scheduler/overload/load.go
@@ -103,6 +103,8 @@
 	// maxDoubt is the doubt above which nothing is refused: the run times then differ
 	// by more than a factor of 2, and so may the expected end.
 	maxDoubt = 1.0
+	// UnknownDoubt is the doubt of run times of which nothing is known.
+	UnknownDoubt = 10 * maxDoubt
 	// maxInflowShare limits the part of the capacity that later work is expected to
 	// take. A burst may end at any moment, so that a job that is late now is never
 	// expected to wait for more than 4 times its backlog.
--- a/scheduler/overload/share.go
+++ b/scheduler/overload/share.go
@@ -62,9 +62,10 @@
 	Class    Class
 	Accepted time.Time
 	// Need is what the waiting tasks need, Used what the running tasks of the same
-	// job use.
+	// job use. Unit is what one task needs, or all tasks of a gang.
 	Need Amount
 	Used Amount
+	Unit Amount
 }
 
 // Usage is what running tasks of a team use.
@@ -98,9 +99,11 @@
 // team has at this priority if its claims that come first are served. Serving the
 // lowest share first makes the teams equal in the resource of which each uses most.
 //
-// What the job of a claim itself uses does not count, so that jobs which have begun
-// are completed before others of the team begin, and neither does what the claim
-// needs, so that a large claim has its turn when a small one would. Within a team the
+// What the job of a claim itself uses does not count up to the unit of the claim, so
+// that a gang has its next step when another of its size would, while a team that puts
+// all its work into one wide job gains nothing. What the claim needs does not count
+// either, so that a large claim has its turn when a small one would. Jobs which have
+// begun are completed before others of the team begin. Within a team the
 // size classes are served in proportion to their demand.
 func Shares(claims []Claim, usages []Usage, total Amount) []float64 {
 	accounts := map[teamKey]*account{}
@@ -146,7 +149,7 @@
 		i := class.waiting[0]
 		class.waiting = class.waiting[1:]
 		c := &claims[i]
-		shares[i] = a.used.Plus(c.Used.Times(-1)).Dominant(total)
+		shares[i] = a.used.Plus(c.Used.Min(c.Unit).Times(-1)).Dominant(total)
 		a.used = a.used.Plus(c.Need)
 		class.served += c.Need.Dominant(total)
 	}
