--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -46,6 +46,10 @@
 	Heartbeat time.Duration
 	// Retention is how long the state of an ended job stays readable.
 	Retention time.Duration
+	// Reclaim is the time within which guaranteed tasks must have started, or 0 if
+	// the deployment sets none. If it is set, teams are balanced and jobs may be
+	// refused under overload.
+	Reclaim time.Duration
 }
 
 // Dependencies are the services that a planner uses.
@@ -120,6 +124,9 @@
 	learned learnedState
 	demand  demand
 	trust   trustState
+	// loads holds the load of each service, loadsMeasuredAt when it was measured.
+	loads           map[string]*serviceLoad
+	loadsMeasuredAt time.Time
 	// lastCleanup is when obsolete jobs were last searched for.
 	lastCleanup time.Time
 	// lastDecision is when the latest decision ended, decisionTime how long it
@@ -194,6 +201,7 @@
 		live:           map[string]*job{},
 		unreadable:     map[string]bool{},
 		workers:        map[string]*worker{},
+		loads:          map[string]*serviceLoad{},
 		dataCentres:    map[string]*dataCentre{},
 		estimator:      queue.NewEstimator(),
 		speeds:         pace.New(),
