platform/memory: tasks of a worker may slow each other down

Cause: no stand-in of a worker shows interference, so that tests of the planner could not tell whether it is learned from reports.

Change: Runner.Slowdown gives the factor by which the other tasks on the worker slow a task down; progress and end follow when tasks come and go. Without it, runs are as before.

--- a/scheduler/platform/memory/runner.go
+++ b/scheduler/platform/memory/runner.go
@@ -26,6 +26,9 @@
 	// TailLatency returns the tail latency of a task, given the highest speed in
 	// percent of the other runs on the worker. If nil, none is reported.
 	TailLatency func(task batch.TaskID, otherSpeed int) time.Duration
+	// Slowdown returns the factor by which a task takes longer because of the other
+	// tasks on the worker. If nil, tasks do not slow each other down.
+	Slowdown func(task batch.TaskID, others []batch.TaskID) float64
 
 	mu            sync.Mutex
 	started       time.Time
@@ -65,6 +68,7 @@
 	span      *Span
 	// speedPercent is the speed set by Throttle, initially full speed.
 	speedPercent int
+	pace         pace
 }
 
 // NewRunner returns a worker that has just started.
@@ -154,6 +158,7 @@
 	r.sequence++
 	active.span.Ended, active.span.Outcome, active.span.sequence = r.started.Add(at), outcome, r.sequence
 	r.ended = append(r.ended, platform.EndedTask{Sequence: r.sequence, Run: active.run, Outcome: outcome})
+	r.adjustPaces(at)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -208,6 +213,7 @@
 		span := &Span{Run: req.Run, Started: time.Now()}
 		r.spans = append(r.spans, span)
 		r.running[req.Task] = &activeRun{run: req.Run, endsAt: now + d, fails: failed, startedAt: now, span: span, speedPercent: fullSpeedPercent}
+		r.adjustPaces(now)
 		r.starts = append(r.starts, req.Run)
 		return now, nil
 	})
@@ -316,7 +322,7 @@
 	s := platform.RunnerState{Clock: now, Incarnation: r.incarnation, Ended: slices.Clone(r.ended)}
 	next := time.Hour
 	for _, active := range r.running {
-		progress := float64(now-active.startedAt) / float64(max(active.endsAt-active.startedAt, 1))
+		progress := r.progress(active, now)
 		if active.endsAt-active.startedAt == longRunningTime && now-active.startedAt >= startupDelay {
 			progress = 1
 		}
