interference: tests for clipping, equal slowdowns and evidence of one worker

Cause: with the clipping of a window, or the nil slowdown where all workers are alike, taken out, no test failed; and the test of one worker did not end when a single worker was made enough, because it then ran without workers.

Change: TestOneWindowChangesLittle, checks of Table.Slowdown, and two workers in TestOneWorkerIsNoEvidence.

--- a/scheduler/interference/interference_test.go
+++ b/scheduler/interference/interference_test.go
@@ -81,13 +81,28 @@
 // on it look like a pair.
 func TestOneWorkerIsNoEvidence(t *testing.T) {
 	l := newLoad(1, 3, 1, 0.05)
-	l.workers = l.workers[:minWorkers-1]
+	l.workers = l.workers[:2]
 	l.play(600)
 	if l.learner.Known() {
 		t.Errorf("%+v", l.learner.Pairs())
 	}
 }
 
+// TestOneWindowChangesLittle guards against a worker that stalls once and makes its
+// neighbours look like the cause.
+func TestOneWindowChangesLittle(t *testing.T) {
+	m := newModel()
+	for i := range int64(50) {
+		m.observe([]share{{testKind("a"), float64(i%2*2 - 1)}}, 0, i)
+	}
+	i := m.index(testKind("a"), 50)
+	before := m.slowdown[i]
+	m.observe([]share{{testKind("a"), 1}}, 5, 51)
+	if change := m.slowdown[i] - before; change < 0 || change > minSlowdown {
+		t.Errorf("one window changes the slowdown by %.2f", change)
+	}
+}
+
 // TestSizeIsBounded guards against a state that grows with the number of kinds.
 func TestSizeIsBounded(t *testing.T) {
 	l := newLoad(1, 3*maxKinds, 0.2, 0.1)
@@ -234,6 +249,12 @@
 			t.Errorf("%v neighbours: factor %v, want %v", c.count, got, c.want)
 		}
 	}
+	if s := table.Slowdown(i, [][]Neighbour{{{j, 1}}, {{j, 1}}}); s != nil {
+		t.Errorf("slowdown %v, want none where all workers are alike", s)
+	}
+	if s := table.Slowdown(i, [][]Neighbour{{{j, 1}}, nil}); len(s) != 2 || s[1] != 1 {
+		t.Errorf("slowdown %v", s)
+	}
 	if _, ok := table.Index(testKind("c")); ok {
 		t.Error("a kind without a pair has an index")
 	}
