assignment: slowdown by neighbours orders the workers of a rack

Cause: Group.Slowdown was a field that nothing read.

Change: fill takes it as a cost after measuring, speed rank and the rack to be filled first, and before the best fit among the workers of that rack. Nothing is refused for it. Decision.Separations reports groups that it placed elsewhere, for at most 16 groups of a decision, which are placed a second time to find out.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -92,8 +92,8 @@
 	// Share orders groups of the same priority and usefulness while not all can be
 	// done in time, lower first; 0 leaves the order by age.
 	Share float64
-	// Slowdown is the factor by which the tasks are expected to be slower on each
-	// worker, by position in the view, because of what runs there. It is nil if
+	// Slowdown is the factor by which the tasks and what runs on each worker, by
+	// position in the view, are expected to slow each other down. It is nil if
 	// nothing is known.
 	Slowdown []float64
 }
@@ -156,6 +156,9 @@
 	Starts       []Start
 	Stops        []int
 	Reservations []Reservation
+	// Separations lists groups that their slowdown placed elsewhere, for at most
+	// maxSeparationChecks of the groups that start.
+	Separations []Separation
 }
 
 // Decide places waiting tasks in the order of rank. It is designed for gangs of
@@ -197,7 +200,9 @@
 	victims map[victimScope]map[int][]int
 	// blockedReservations counts the blocked gangs for which capacity is reserved.
 	blockedReservations int
-	result              Decision
+	// separationChecks counts the groups that were placed a second time.
+	separationChecks int
+	result           Decision
 }
 
 // indexRacks numbers the racks in the order of their names.
@@ -266,6 +271,7 @@
 		}
 		return
 	}
+	d.recordSeparation(position, slots)
 	for i, w := range slots {
 		if i > 0 && g.Priority > 0 && !g.Gang && !d.leavesReserve(g) {
 			return
--- a/scheduler/assignment/decide_bench_test.go
+++ b/scheduler/assignment/decide_bench_test.go
@@ -43,3 +43,21 @@
 		})
 	}
 }
+
+// BenchmarkDecideApart is BenchmarkDecide with a slowdown of every group.
+func BenchmarkDecideApart(b *testing.B) {
+	for _, workers := range []int{350, 3000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			r := rand.New(rand.NewPCG(3, 4))
+			v := busyView(workers)
+			for i := range v.Groups {
+				for range v.Workers {
+					v.Groups[i].Slowdown = append(v.Groups[i].Slowdown, 1+r.Float64())
+				}
+			}
+			for b.Loop() {
+				Decide(v)
+			}
+		})
+	}
+}
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -131,6 +131,7 @@
 	measureRank  int
 	speedRank    int
 	rackFree     int64
+	slowdown     float64
 	accelerators int64
 	milliCPU     int64
 }
@@ -143,6 +144,8 @@
 		return c.speedRank - o.speedRank
 	case c.rackFree != o.rackFree:
 		return cmp.Compare(c.rackFree, o.rackFree)
+	case c.slowdown != o.slowdown:
+		return cmp.Compare(c.slowdown, o.slowdown)
 	case c.accelerators != o.accelerators:
 		return cmp.Compare(c.accelerators, o.accelerators)
 	case c.milliCPU != o.milliCPU:
@@ -152,9 +155,9 @@
 }
 
 // fill is a best-fit placement: it takes workers of the best speed rank first, on
-// the racks with the fewest free accelerators and then those with the fewest free
-// resources themselves, so that whole racks stay free for adjacent gangs. Workers
-// whose speed the group would measure go before all others. It returns the worker
+// the racks with the fewest free accelerators, of these the ones with the least
+// slowdown and then those with the fewest free resources themselves, so that whole
+// racks stay free for adjacent gangs. Workers whose speed the group would measure go before all others. It returns the worker
 // of each task, or nil if nothing or only a part of a gang fits.
 func (d *decider) fill(g *Group, workers []int) []int {
 	candidates := d.candidates[:0]
@@ -177,7 +180,7 @@
 			c.measureRank = 1
 		}
 		c.speedRank, c.rackFree = d.speedRank(g, w.speedClass()), d.freeByRack[d.workerRack[c.worker]]
-		c.accelerators, c.milliCPU = d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
+		c.slowdown, c.accelerators, c.milliCPU = g.slowdown(c.worker), d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
 	slots := make([]int, 0, len(g.Indexes))
--- a/scheduler/assignment/slot_test.go
+++ b/scheduler/assignment/slot_test.go
@@ -33,6 +33,7 @@
 			-compareBool(d.measuresSpeed(g, x), d.measuresSpeed(g, y)),
 			cmp.Compare(d.speedRank(g, x.speedClass()), d.speedRank(g, y.speedClass())),
 			cmp.Compare(rackFree[x.Rack], rackFree[y.Rack]),
+			cmp.Compare(g.Slowdown[a.worker], g.Slowdown[b.worker]),
 			cmp.Compare(d.free[a.worker].Accelerators, d.free[b.worker].Accelerators),
 			cmp.Compare(d.free[a.worker].MilliCPU, d.free[b.worker].MilliCPU),
 		)
@@ -64,6 +65,7 @@
 		workers := make([]int, len(d.view.Workers))
 		for i := range workers {
 			workers[i] = i
+			g.Slowdown = append(g.Slowdown, rapid.SampledFrom([]float64{1, 1.5, 3}).Draw(t, "slowdown"))
 		}
 		if got, want := d.fill(&g, workers), d.referenceFill(&g, workers); fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Fatalf("got %v, want %v", got, want)
