control, entry: learn interference from reports and keep known pairs apart

Cause: tasks that slow each other down are packed onto one worker, because placement knows only their resources.

Change: reports of progress and tail latency, with the tasks that were on the worker meanwhile, go to interference.Estimator; a view gets the slowdown of the kinds that are part of a known pair. Windows on cold workers, of throttled runs and while a run restores its checkpoint are left out. Only tasks that name an image take part.

Where nothing is known no group has a slowdown.

--- a/daisylugd/entry/status.go
+++ b/daisylugd/entry/status.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"time"
+
+	"daisylug.example/scheduler/interference"
 )
 
 // wireStatus is the response of the status handler.
@@ -27,6 +30,37 @@
 	Workers     int              `json:"workers"`
 	Jobs        int              `json:"jobs"`
 	Evacuations []wireEvacuation `json:"evacuations,omitempty"`
+	// Interference lists the kinds of tasks known to slow each other down.
+	Interference []wireInterference `json:"interference,omitempty"`
+}
+
+// wireInterference says by which factor one neighbour slows a task of a kind down,
+// and by how many runs and with which standard error of its logarithm that is known.
+type wireInterference struct {
+	Kind      wireKind `json:"kind"`
+	Neighbour wireKind `json:"neighbour"`
+	Factor    float64  `json:"factor"`
+	Runs      int      `json:"runs"`
+	Error     float64  `json:"error"`
+}
+
+// wireKind names tasks that run the same program with about the same resources.
+type wireKind struct {
+	Queue        string `json:"queue"`
+	Image        string `json:"image"`
+	MilliCPU     int64  `json:"millicpu"`
+	MemoryMB     int64  `json:"memorymb"`
+	Accelerators int64  `json:"accelerators"`
+}
+
+func newWireInterference(p interference.Pair) wireInterference {
+	return wireInterference{
+		Kind: newWireKind(p.Kind), Neighbour: newWireKind(p.Neighbour), Factor: p.Factor(), Runs: p.Runs, Error: math.Sqrt(p.Variance),
+	}
+}
+
+func newWireKind(k interference.Kind) wireKind {
+	return wireKind{Queue: k.Queue, Image: k.Image, MilliCPU: k.Need.MilliCPU, MemoryMB: k.Need.MemoryMB, Accelerators: k.Need.Accelerators}
 }
 
 type wireEvacuation struct {
@@ -49,6 +83,9 @@
 		for _, ev := range status.Evacuations {
 			s.Planning.Evacuations = append(s.Planning.Evacuations, wireEvacuation{ev.DataCentre, ev.Since, ev.Runs})
 		}
+		for _, pair := range status.Interference {
+			s.Planning.Interference = append(s.Planning.Interference, newWireInterference(pair))
+		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s); err != nil {
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -84,6 +84,7 @@
 	}
 	p.applyStarts(v, d.Starts)
 	p.logStarts(v, d.Starts)
+	p.logSeparations(v, d.Separations)
 	p.instruments.decide.UpdateDuration(start)
 }
 
--- a/scheduler/control/end.go
+++ b/scheduler/control/end.go
@@ -124,6 +124,7 @@
 	j := pl.job
 	w := pl.worker
 	w.failedRuns, w.backoff = 0, 0
+	p.sampleInterference(pl, 1, time.Now())
 	if pl.checkpoint == "" && !pl.confirmedAt.IsZero() && !w.cold(pl.confirmedAt) {
 		total := time.Since(pl.confirmedAt)
 		if !pl.step.Gang {
--- a/scheduler/control/learnedstate.go
+++ b/scheduler/control/learnedstate.go
@@ -55,6 +55,7 @@
 			p.estimator.Observe("", t.GetQueue(), milliseconds(d))
 		}
 	}
+	p.restoreInterference(m.GetInterference())
 	p.Log.Info("learned state loaded", "speeds", len(m.GetSpeeds()), "queues", len(m.GetTimes()))
 	return nil
 }
@@ -97,6 +98,7 @@
 		}
 		m.Times = append(m.Times, t)
 	}
+	m.Interference = p.storedInterference()
 	if size := proto.Size(m); size > maxLearnedStateBytes {
 		// All entries have about the same size; the speeds of workers that do
 		// not fit are learned again.
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -16,6 +16,7 @@
 
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/evacuation"
+	"daisylug.example/scheduler/interference"
 	"daisylug.example/scheduler/pace"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/queue"
@@ -109,6 +110,8 @@
 	resigning bool
 	estimator *queue.Estimator
 	speeds    *pace.SpeedEstimator
+	// interference learns which tasks slow each other down.
+	interference *interference.Estimator
 	// learned holds what earlier planners have learned.
 	learned learnedState
 	demand  demand
@@ -184,6 +187,7 @@
 		dataCentres:    map[string]*dataCentre{},
 		estimator:      queue.NewEstimator(),
 		speeds:         pace.New(),
+		interference:   interference.New(),
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests),
 		wakeups:        make(chan struct{}, 1),
 		instruments:    newInstruments(d.Metrics),
--- a/scheduler/control/report.go
+++ b/scheduler/control/report.go
@@ -79,6 +79,7 @@
 	pl.missedPolls = 0
 	pl.reportedProgress, pl.tailLatency = r.Progress, r.TailLatency
 	p.sampleSpeed(pl, r.Progress, now)
+	p.sampleInterference(pl, r.Progress, now)
 	if r.Checkpoint != "" {
 		pl.checkpoint = r.Checkpoint
 	}
@@ -133,6 +134,7 @@
 			pl.appliedShare = -1
 		}
 	}
+	p.setPresence(pl, pl.presenceWeight(), now)
 	if !pl.job.started {
 		pl.job.started = true
 		p.instruments.waitTime(pl.job.spec.Team).Update(now.Sub(pl.job.spec.AcceptedAt).Seconds())
@@ -221,6 +223,7 @@
 	if w.placements[pl.id] != pl {
 		return
 	}
+	p.setPresence(pl, 0, time.Now())
 	delete(w.placements, pl.id)
 	w.used = w.used.Minus(pl.step.AllocatedResources())
 	pl.job.placementCount--
--- a/scheduler/control/status.go
+++ b/scheduler/control/status.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"daisylug.example/scheduler/interference"
+)
 
 // Status is what an operator sees of a planner.
 type Status struct {
@@ -9,6 +13,8 @@
 	// LiveJobs counts the jobs that have not ended.
 	LiveJobs    int
 	Evacuations []EvacuationStatus
+	// Interference lists the pairs of kinds known to slow each other down.
+	Interference []interference.Pair
 }
 
 // EvacuationStatus describes the evacuation of a data centre.
@@ -24,7 +30,7 @@
 func (p *Planner) Status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := Status{Generation: p.Term.Generation(), Workers: len(p.workers), LiveJobs: len(p.live)}
+	s := Status{Generation: p.Term.Generation(), Workers: len(p.workers), LiveJobs: len(p.live), Interference: p.interference.Pairs()}
 	for _, name := range p.evacuations.set.DataCentres() {
 		s.Evacuations = append(s.Evacuations, EvacuationStatus{DataCentre: name, Since: p.evacuations.since[name], Runs: len(p.runsIn(name))})
 	}
--- a/scheduler/control/throttle.go
+++ b/scheduler/control/throttle.go
@@ -72,6 +72,9 @@
 	switch {
 	case err == nil:
 		pl.appliedShare = share
+		if pl.worker.placements[pl.id] == pl {
+			p.setPresence(pl, pl.presenceWeight(), time.Now())
+		}
 	case errors.As(err, &staleRun):
 		// The run has ended.
 	default:
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/interference"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/throttle"
 )
@@ -79,9 +80,11 @@
 	lastResponse time.Time
 	// bestEffortShare is the throttling state of the best-effort tasks.
 	bestEffortShare throttle.State
-	calls           callTracker
-	pollRequests    chan struct{}
-	cancel          context.CancelFunc
+	// presence records which kinds of tasks have run on the worker.
+	presence     interference.Presence
+	calls        callTracker
+	pollRequests chan struct{}
+	cancel       context.CancelFunc
 }
 
 // placement is a run that is, or may be, on a worker.
@@ -116,6 +119,10 @@
 	tailLatency  time.Duration
 	appliedShare int
 	throttling   bool
+	// observed is the pace of the run so far, presence its weight in the presence of
+	// its worker.
+	observed interference.Run
+	presence float64
 }
 
 // phase is the state of a placement.
