template: the JSON form and validation of teams and templates are exported

Cause: only the daemon could decode and validate teams and templates; a check without an instance would have needed a copy that drifts.

Change: the bodies move from daisylugd/dispatch to package template, with their conversion to records, and Options.ValidateTeam and ValidateTemplate replace the unexported checks of Catalogue. No behaviour changes.

Result: tests of template and dispatch pass, and TestOperatorsRace and TestShutdownCutsNothing of daisylugd/trial.

--- a/daisylugd/dispatch/catalogue.go
+++ b/daisylugd/dispatch/catalogue.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,35 +19,11 @@
 // is below the 10 s timeout of the command line client.
 const changeTimeout = 8 * time.Second
 
-type guaranteeBody struct {
-	Centre string    `json:"centre"`
-	Shape  shapeBody `json:"shape"`
-	Count  int32     `json:"count"`
-}
-
-type teamBody struct {
-	Name       string          `json:"name"`
-	Templates  []string        `json:"templates"`
-	Priority   int32           `json:"priority"`
-	Guarantees []guaranteeBody `json:"guarantees"`
-	Prepaid    float64         `json:"prepaid"`
-	Weight     int32           `json:"weight"`
-	// Version and Config are set in responses and ignored in requests, so that
-	// a response can be edited and sent back.
-	Version int64 `json:"version,omitempty"`
-	Config  int64 `json:"config,omitempty"`
-}
-
-type templateBody struct {
-	Name       string     `json:"name"`
-	Class      string     `json:"class"`
-	Shape      shapeBody  `json:"shape"`
-	Limit      *shapeBody `json:"limit,omitempty"`
-	Estimate   float64    `json:"estimate"`
-	Idempotent bool       `json:"idempotent"`
-	Version    int64      `json:"version,omitempty"`
-	Config     int64      `json:"config,omitempty"`
-}
+type (
+	shapeBody    = template.ShapeBody
+	teamBody     = template.TeamBody
+	templateBody = template.Body
+)
 
 type teamsReply struct {
 	Teams []teamBody `json:"teams"`
@@ -63,7 +38,7 @@
 	reply := teamsReply{Teams: []teamBody{}}
 	for _, t := range snapshot.Teams() {
 		_, version := snapshot.Team(t.Name)
-		reply.Teams = append(reply.Teams, teamBodyOf(t, version, snapshot.Version()))
+		reply.Teams = append(reply.Teams, template.TeamBodyOf(t, version, snapshot.Version()))
 	}
 	return writeJSON(ctx, http.StatusOK, reply)
 }
@@ -76,7 +51,7 @@
 		return NewAPIError(TypeNotFound, "team "+name+" not found")
 	}
 	ctx.Response().Header().Set("ETag", etag(version))
-	return writeJSON(ctx, http.StatusOK, teamBodyOf(t, version, snapshot.Version()))
+	return writeJSON(ctx, http.StatusOK, template.TeamBodyOf(t, version, snapshot.Version()))
 }
 
 func (d *Daemon) putTeam(ctx khttp.Context) error {
@@ -87,7 +62,7 @@
 	}
 	call, cancel := context.WithTimeout(requestContext(ctx), changeTimeout)
 	defer cancel()
-	written, err := d.catalogue.PutTeam(call, body.toSchema(), version)
+	written, err := d.catalogue.PutTeam(call, body.Record(), version)
 	if err != nil {
 		return catalogueError(err)
 	}
@@ -101,7 +76,7 @@
 	reply := templatesReply{Templates: []templateBody{}}
 	for _, t := range snapshot.Templates() {
 		_, version := snapshot.Template(t.Name)
-		reply.Templates = append(reply.Templates, templateBodyOf(t, version, snapshot.Version()))
+		reply.Templates = append(reply.Templates, template.BodyOf(t, version, snapshot.Version()))
 	}
 	return writeJSON(ctx, http.StatusOK, reply)
 }
@@ -114,7 +89,7 @@
 		return NewAPIError(TypeNotFound, "template "+name+" not found")
 	}
 	ctx.Response().Header().Set("ETag", etag(version))
-	return writeJSON(ctx, http.StatusOK, templateBodyOf(t, version, snapshot.Version()))
+	return writeJSON(ctx, http.StatusOK, template.BodyOf(t, version, snapshot.Version()))
 }
 
 func (d *Daemon) putTemplate(ctx khttp.Context) error {
@@ -123,9 +98,9 @@
 	if err != nil {
 		return err
 	}
-	record, err := body.toSchema()
+	record, err := body.Record()
 	if err != nil {
-		return err
+		return catalogueError(err)
 	}
 	call, cancel := context.WithTimeout(requestContext(ctx), changeTimeout)
 	defer cancel()
@@ -168,80 +143,6 @@
 	}
 }
 
-func teamBodyOf(t *schema.Team, version, config int64) teamBody {
-	b := teamBody{
-		Name:       t.Name,
-		Templates:  append([]string{}, t.Templates...),
-		Priority:   t.Priority,
-		Guarantees: []guaranteeBody{},
-		Prepaid:    t.Prepaid,
-		Weight:     t.Weight,
-		Version:    version,
-		Config:     config,
-	}
-	for _, g := range t.Guarantees {
-		b.Guarantees = append(b.Guarantees, guaranteeBody{Centre: g.Centre, Shape: shapeBodyOf(g.Shape), Count: g.Count})
-	}
-	return b
-}
-
-func shapeBodyOf(s *schema.Shape) shapeBody {
-	return shapeBody{Workers: s.GetWorkers(), Accelerators: s.GetAccelerators()}
-}
-
-func (b shapeBody) toSchema() *schema.Shape {
-	return &schema.Shape{Workers: b.Workers, Accelerators: b.Accelerators}
-}
-
-func (b teamBody) toSchema() *schema.Team {
-	t := &schema.Team{
-		Name:      b.Name,
-		Templates: b.Templates,
-		Priority:  b.Priority,
-		Prepaid:   b.Prepaid,
-		Weight:    b.Weight,
-	}
-	for _, g := range b.Guarantees {
-		t.Guarantees = append(t.Guarantees, &schema.Guarantee{Centre: g.Centre, Shape: g.Shape.toSchema(), Count: g.Count})
-	}
-	return t
-}
-
-func templateBodyOf(t *schema.Template, version, config int64) templateBody {
-	b := templateBody{
-		Name:       t.Name,
-		Class:      className(t.Class),
-		Shape:      shapeBodyOf(t.Shape),
-		Estimate:   t.Estimate,
-		Idempotent: t.Idempotent,
-		Version:    version,
-		Config:     config,
-	}
-	if t.Limit != nil {
-		limit := shapeBodyOf(t.Limit)
-		b.Limit = &limit
-	}
-	return b
-}
-
-func (b templateBody) toSchema() (*schema.Template, error) {
-	class, ok := schema.Class_value["CLASS_"+strings.ToUpper(b.Class)]
-	if !ok || class == 0 {
-		return nil, NewFieldError("class", "must be quick, planned or background")
-	}
-	t := &schema.Template{
-		Name:       b.Name,
-		Class:      schema.Class(class),
-		Shape:      b.Shape.toSchema(),
-		Estimate:   b.Estimate,
-		Idempotent: b.Idempotent,
-	}
-	if b.Limit != nil {
-		t.Limit = b.Limit.toSchema()
-	}
-	return t, nil
-}
-
 // checkGuarantees returns an error if the workers cannot hold the guarantees of
 // all teams.
 func checkGuarantees(teams []*schema.Team, workers []platform.WorkerInfo) error {
--- a/daisylugd/dispatch/job.go
+++ b/daisylugd/dispatch/job.go
@@ -33,11 +33,6 @@
 	maxPollInterval     = time.Second
 )
 
-type shapeBody struct {
-	Workers      int32 `json:"workers"`
-	Accelerators int32 `json:"accelerators"`
-}
-
 type submitRequest struct {
 	Team       string          `json:"team"`
 	Template   string          `json:"template"`
--- a/scheduler/template/change.go
+++ b/scheduler/template/change.go
@@ -40,7 +40,7 @@
 // PutTeam stores team if expectedVersion is the current version of its record;
 // 0 creates it.
 func (c *Catalogue) PutTeam(ctx context.Context, team *schema.Team, expectedVersion int64) (Versions, error) {
-	if err := c.checkTeam(team); err != nil {
+	if err := c.options.ValidateTeam(team); err != nil {
 		return Versions{}, err
 	}
 	return c.put(ctx, "team", team.Name, team, expectedVersion, func(s *Snapshot) error {
@@ -54,7 +54,7 @@
 // PutTemplate stores template if expectedVersion is the current version of its
 // record; 0 creates it.
 func (c *Catalogue) PutTemplate(ctx context.Context, template *schema.Template, expectedVersion int64) (Versions, error) {
-	if err := c.checkTemplate(template); err != nil {
+	if err := c.options.ValidateTemplate(template); err != nil {
 		return Versions{}, err
 	}
 	return c.put(ctx, "template", template.Name, template, expectedVersion, func(*Snapshot) error { return nil })
--- a/scheduler/template/validate.go
+++ b/scheduler/template/validate.go
@@ -21,8 +21,9 @@
 // namePattern allows names that are safe in keys, URLs and metric labels.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
 
-// checkTeam validates the fields of team that do not depend on other records.
-func (c *Catalogue) checkTeam(team *schema.Team) error {
+// ValidateTeam returns a *FieldError for the first invalid field of team. It does
+// not check fields that depend on other records.
+func (o Options) ValidateTeam(team *schema.Team) error {
 	if err := checkName("name", team.Name); err != nil {
 		return err
 	}
@@ -42,18 +43,18 @@
 		return &FieldError{Field: "guarantees", Cause: fmt.Sprintf("has more than %d entries", maxTeamGuarantees)}
 	}
 	for i, g := range team.Guarantees {
-		if err := c.checkGuarantee(fmt.Sprintf("guarantees[%d]", i), g); err != nil {
+		if err := o.checkGuarantee(fmt.Sprintf("guarantees[%d]", i), g); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (c *Catalogue) checkGuarantee(field string, g *schema.Guarantee) error {
+func (o Options) checkGuarantee(field string, g *schema.Guarantee) error {
 	if err := checkName(field+".centre", g.GetCentre()); err != nil {
 		return err
 	}
-	if err := c.checkShape(field+".shape", g.Shape); err != nil {
+	if err := o.checkShape(field+".shape", g.Shape); err != nil {
 		return err
 	}
 	return checkRange(field+".count", g.Count, 1, maxGuaranteeCount)
@@ -74,7 +75,8 @@
 	return nil
 }
 
-func (c *Catalogue) checkTemplate(t *schema.Template) error {
+// ValidateTemplate returns a *FieldError for the first invalid field of t.
+func (o Options) ValidateTemplate(t *schema.Template) error {
 	if err := checkName("name", t.Name); err != nil {
 		return err
 	}
@@ -88,13 +90,13 @@
 	if t.Class == schema.Class_CLASS_QUICK && t.Shape == nil && t.Limit == nil {
 		return nil
 	}
-	if err := c.checkShape("shape", t.Shape); err != nil {
+	if err := o.checkShape("shape", t.Shape); err != nil {
 		return err
 	}
 	if t.Limit == nil {
 		return nil
 	}
-	if err := c.checkShape("limit", t.Limit); err != nil {
+	if err := o.checkShape("limit", t.Limit); err != nil {
 		return err
 	}
 	if t.Limit.Workers*t.Limit.Accelerators < t.Shape.Workers*t.Shape.Accelerators {
@@ -104,14 +106,14 @@
 }
 
 // checkShape rejects shapes that no rack can hold.
-func (c *Catalogue) checkShape(field string, s *schema.Shape) error {
+func (o Options) checkShape(field string, s *schema.Shape) error {
 	if s == nil {
 		return &FieldError{Field: field, Cause: "is missing"}
 	}
-	if err := checkRange(field+".workers", s.Workers, 1, c.options.MaxWorkersPerRack); err != nil {
+	if err := checkRange(field+".workers", s.Workers, 1, o.MaxWorkersPerRack); err != nil {
 		return err
 	}
-	return checkRange(field+".accelerators", s.Accelerators, 1, c.options.MaxAcceleratorsPerWorker)
+	return checkRange(field+".accelerators", s.Accelerators, 1, o.MaxAcceleratorsPerWorker)
 }
 
 func checkName(field, name string) error {
