console, configcheck: daisylug config check

Cause: a file of teams or templates was checked only by applying it, entry after entry, and nothing told of entries that are valid but have no effect.

Exit codes 0, 2, 3 and 10 as for other commands. It calls no instance.

Whether workers can hold the guarantees, and labels and time limits, are not checked: these files name neither workers nor labels nor time limits.

--- a/daisylug/console/failure.go
+++ b/daisylug/console/failure.go
@@ -42,7 +42,7 @@
 	{ExitFailed, "the work ran and failed"},
 	{ExitTimeout, "still pending when the time to wait had passed"},
 	{ExitNotFound, "no such job, team or template"},
-	{ExitDiffers, "diff found differences"},
+	{ExitDiffers, "diff or config check found differences"},
 	{ExitCancelled, "the job was cancelled"},
 	{ExitInterrupted, "interrupted by a signal"},
 }
--- a/daisylug/console/options.go
+++ b/daisylug/console/options.go
@@ -60,6 +60,7 @@
 	Quote    quoteCommand    `cmd:"" help:"Send a quick request and print its answer."`
 	Team     teamCommand     `cmd:"" help:"Show and change teams."`
 	Template templateCommand `cmd:"" help:"Show and change templates."`
+	Config   configCommand   `cmd:"" help:"Check files of teams and templates."`
 	Status   statusCommand   `cmd:"" help:"Show the status of an instance or of all."`
 	Bench    benchCommand    `cmd:"" help:"Load daisylug and report latencies, goodput and refusals."`
 
--- a/shell/daisylug.bash
+++ b/shell/daisylug.bash
@@ -7,18 +7,18 @@
 	--class) COMPREPLY=($(compgen -W 'background planned quick' -- "$cur")); return ;;
 	--output) COMPREPLY=($(compgen -W 'json table' -- "$cur")); return ;;
 	-o) COMPREPLY=($(compgen -W 'json table' -- "$cur")); return ;;
-	--after|--callers|--centre|--deadline|--direct|--duration|--estimate|--for|--id|--in-flight|--key|--limit|--mix|--payload|--rate|--seed|--servers|--shape|--state|--team|--template|--timeout) COMPREPLY=($(compgen -f -- "$cur")); return ;;
+	--after|--against|--callers|--centre|--deadline|--direct|--duration|--estimate|--for|--id|--in-flight|--key|--limit|--mix|--payload|--rate|--seed|--servers|--shape|--state|--team|--template|--timeout) COMPREPLY=($(compgen -f -- "$cur")); return ;;
 	esac
 	for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
 		if [[ -n $skip && $word != = ]]; then skip=; continue; fi
 		case $word in
-		--after|--callers|--centre|--class|--deadline|--direct|--duration|--estimate|--for|--id|--in-flight|--key|--limit|--mix|--output|--payload|--rate|--seed|--servers|--shape|--state|--team|--template|--timeout|-o) skip=1 ;;
+		--after|--against|--callers|--centre|--class|--deadline|--direct|--duration|--estimate|--for|--id|--in-flight|--key|--limit|--mix|--output|--payload|--rate|--seed|--servers|--shape|--state|--team|--template|--timeout|-o) skip=1 ;;
 		-*|=) ;;
-		apply|bench|cancel|completion|diff|get|job|list|quote|status|submit|team|template|version|wait) trail="$trail $word" ;;
+		apply|bench|cancel|check|completion|config|diff|get|job|list|quote|status|submit|team|template|version|wait) trail="$trail $word" ;;
 		esac
 	done
 	case ${trail# } in
-	'') COMPREPLY=($(compgen -W 'job quote team template status bench completion version --help --servers --timeout --output' -- "$cur")) ;;
+	'') COMPREPLY=($(compgen -W 'job quote team template config status bench completion version --help --servers --timeout --output' -- "$cur")) ;;
 	'job') COMPREPLY=($(compgen -W 'submit get wait cancel list --help --servers --timeout --output' -- "$cur")) ;;
 	'job submit') COMPREPLY=($(compgen -W '--team --template --key --shape --class --deadline --idempotent --no-idempotent --estimate --centre --payload --wait --for --help --servers --timeout --output' -- "$cur")) ;;
 	'job get') COMPREPLY=($(compgen -W '--help --servers --timeout --output' -- "$cur")) ;;
@@ -36,6 +36,8 @@
 	'template get') COMPREPLY=($(compgen -W '--help --servers --timeout --output' -- "$cur")) ;;
 	'template apply') COMPREPLY=($(compgen -W '--wait --for --help --servers --timeout --output' -- "$cur")) ;;
 	'template diff') COMPREPLY=($(compgen -W '--help --servers --timeout --output' -- "$cur")) ;;
+	'config') COMPREPLY=($(compgen -W 'check --help --servers --timeout --output' -- "$cur")) ;;
+	'config check') COMPREPLY=($(compgen -W '--against --help --servers --timeout --output' -- "$cur")) ;;
 	'status') COMPREPLY=($(compgen -W '--all --help --servers --timeout --output' -- "$cur")) ;;
 	'bench') COMPREPLY=($(compgen -W 'quote job --help --servers --timeout --output' -- "$cur")) ;;
 	'bench quote') COMPREPLY=($(compgen -W '--mix --rate --callers --in-flight --duration --deadline --seed --payload --idempotent --no-idempotent --direct --help --servers --timeout --output' -- "$cur")) ;;
