control: test that no pair is learned where nothing interferes

Cause: only the estimator was tested without interference, not the planner with the delays of its polls.

--- a/scheduler/control/interference_test.go
+++ b/scheduler/control/interference_test.go
@@ -95,6 +95,30 @@
 	})
 }
 
+// TestNoPairWithoutInterference guards against pairs that are learned from the delays
+// of reports, or because tasks of one step start and end together.
+func TestNoPairWithoutInterference(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := interferingCluster(t, 8, 1)
+		p, stop := f.startPlanner()
+		defer stop()
+		time.Sleep(settleTime)
+		for i := range 60 {
+			for k, name := range []string{"meek", "loud", "mute"} {
+				step := imageStep(name, 3+(i+k)%3)
+				step.Gang = k == 2
+				f.submit(p, batchJob(fmt.Sprint(name, i), "later", "a", fmt.Sprintf("%dms", 1500+(i*7+k*5)%9*300), step))
+				time.Sleep(time.Duration(150+(i*5+k*3)%7*40) * time.Millisecond)
+			}
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if pairs := p.interference.Pairs(); len(pairs) > 0 {
+			t.Errorf("known: %+v", pairs)
+		}
+	})
+}
+
 // TestNoInterferenceWithoutImages guards against learning about tasks of which
 // nothing says that they run the same program.
 func TestNoInterferenceWithoutImages(t *testing.T) {
