--- a/scheduler/interference/interference_test.go
+++ b/scheduler/interference/interference_test.go
@@ -43,6 +43,7 @@
 // TestNothingIsLearnedWithoutInterference guards against decisions that change
 // although no task slows another one down.
 func TestNothingIsLearnedWithoutInterference(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		l := newLoad(seed, 12, 0, 0.3)
 		l.stalls = 0.02
@@ -105,6 +106,7 @@
 
 // TestSizeIsBounded guards against a state that grows with the number of kinds.
 func TestSizeIsBounded(t *testing.T) {
+	t.Parallel()
 	l := newLoad(1, 3*maxKinds, 0.2, 0.1)
 	l.play(4000)
 	if len(l.learner.models) > maxKinds {
@@ -259,3 +261,24 @@
 		t.Error("a kind without a pair has an index")
 	}
 }
+
+// BenchmarkObserve measures one window of a run beside five others of eight kinds.
+func BenchmarkObserve(b *testing.B) {
+	l := newLoad(1, 8, 0.15, 0.1)
+	l.play(400)
+	presence := Presence{}
+	for i := range 5 {
+		presence = presence.With(l.kinds[i], 1, l.now)
+	}
+	changed := presence.With(l.kinds[6], 1, l.now)
+	var run Run
+	s := Sample{Kind: l.kinds[0], Worker: "w", At: l.now, Presences: []Presence{presence}}
+	for i := 0; b.Loop(); i++ {
+		s.At, s.Progress = s.At.Add(500*time.Millisecond), s.Progress+0.05
+		s.Presences = []Presence{presence}
+		if i%2 == 0 {
+			s.Presences = []Presence{changed}
+		}
+		run = l.learner.Observe(run, s)
+	}
+}
