interference, control: bounded row, finite progress, kinds with pairs are kept

Cause: the speeds of workers were truncated as if the row held nothing else, so that with many workers, other content above about 6 KB made the row exceed 60 KB, and nothing was stored. A report with infinite progress gave a run a baseline of minus infinity, one with NaN an invalid progress. One pair with long names kept all smaller ones from being stored. A full table evicted kinds with known pairs while others could go. A restored pair with a tiny variance could not be unlearned.

Change: the speeds get the space that the rest of the row leaves. Observe ignores progress that is not finite. storedInterference skips a pair that does not fit. The kinds with known pairs are evicted last. Restore raises the variance to the one to which the filter converges. A test of evacuations starts its submission with a plain go statement instead of in the group of the planner.

--- a/scheduler/control/evacuation_test.go
+++ b/scheduler/control/evacuation_test.go
@@ -107,10 +107,7 @@
 		}},
 		{"a decided start that is not stored yet", func(t *testing.T, f *testCluster, p *Planner, stop func()) func() {
 			f.store.SetFaults(memory.Faults{Delay: 400 * time.Millisecond})
-			p.group.Go(func() error {
-				submitAll(f, p, "j", 1, "1s")
-				return nil
-			})
+			go submitAll(f, p, "j", 1, "1s")
 			time.Sleep(200 * time.Millisecond)
 			f.evacuate("a", "b", "c")
 			f.store.SetFaults(memory.Faults{})
--- a/scheduler/control/interference.go
+++ b/scheduler/control/interference.go
@@ -164,8 +164,8 @@
 	}
 }
 
-// maxInterferenceBytes bounds the pairs in the row of learned state. Together with
-// the speeds, which are truncated to nine tenths of the row, they always fit.
+// maxInterferenceBytes bounds the pairs in the row of learned state. The speeds of
+// workers are truncated to the space that the pairs and the run times leave.
 const maxInterferenceBytes = 4 << 10
 
 // storedInterference returns the known pairs to store, those with the largest
@@ -177,10 +177,10 @@
 		m := &schema.InterferencePair{
 			Kind: encodeKind(pair.Kind), Neighbour: encodeKind(pair.Neighbour), Slowdown: pair.Slowdown, Variance: pair.Variance, Runs: int32(pair.Runs),
 		}
-		if size += proto.Size(m); size > maxInterferenceBytes {
-			break
+		if n := proto.Size(m); size+n <= maxInterferenceBytes {
+			size += n
+			stored = append(stored, m)
 		}
-		stored = append(stored, m)
 	}
 	return stored
 }
--- a/scheduler/control/interference_test.go
+++ b/scheduler/control/interference_test.go
@@ -297,6 +297,48 @@
 	}
 }
 
+// TestPairThatDoesNotFitIsSkipped guards against one pair with long names that keeps
+// all smaller ones from being stored.
+func TestPairThatDoesNotFitIsSkipped(t *testing.T) {
+	p := New(Dependencies{Metrics: metrics.NewSet()})
+	for i, image := range []string{"small", strings.Repeat("x", maxInterferenceBytes)} {
+		kind := interferingKind(image)
+		p.interference.Restore(interference.Pair{Kind: kind, Neighbour: kind, Slowdown: 0.2 + float64(i), Variance: 0.001, Runs: 20})
+	}
+	if stored := p.storedInterference(); len(stored) != 1 || stored[0].GetKind().GetImage() != "small" {
+		t.Errorf("%d pairs are stored, want the small one", len(stored))
+	}
+}
+
+// TestLearnedStateIsTruncatedToTheRow guards against a row that is not stored at all
+// because pairs, run times and the speeds of many workers exceed it together.
+func TestLearnedStateIsTruncatedToTheRow(t *testing.T) {
+	p := New(Dependencies{Metrics: metrics.NewSet()})
+	p.learned.inheritedSpeeds = map[string]*schema.WorkerSpeed{}
+	for i := range 4000 {
+		id := fmt.Sprintf("worker-%05d", i)
+		p.learned.inheritedSpeeds[id] = &schema.WorkerSpeed{Worker: id, Life: 1 << 60, Slowness: 0.1, Weight: 3}
+	}
+	for i := range 40 {
+		kind := interferingKind(fmt.Sprint(strings.Repeat("registry/", 20), i))
+		p.interference.Restore(interference.Pair{Kind: kind, Neighbour: kind, Slowdown: 0.2, Variance: 0.001, Runs: 20})
+	}
+	for i := range 100 {
+		p.estimator.Observe("", fmt.Sprint(strings.Repeat("queue", 50), i), time.Second)
+	}
+	rows := p.learnedStateRow(time.Now())
+	if len(rows) != 1 {
+		t.Fatal("the row is not stored")
+	}
+	m := &schema.Experience{}
+	if err := proto.Unmarshal(rows[0].Value, m); err != nil {
+		t.Fatal(err)
+	}
+	if len(m.GetSpeeds()) == 0 || len(m.GetTimes()) == 0 || len(m.GetInterference()) == 0 || len(rows[0].Value) < maxLearnedStateBytes*8/10 {
+		t.Errorf("%d speeds, %d queues and %d pairs in %d bytes", len(m.GetSpeeds()), len(m.GetTimes()), len(m.GetInterference()), len(rows[0].Value))
+	}
+}
+
 // BenchmarkApplyInterference measures what a decision takes in addition, with pairs
 // known and without.
 func BenchmarkApplyInterference(b *testing.B) {
--- a/scheduler/control/learnedstate.go
+++ b/scheduler/control/learnedstate.go
@@ -100,11 +100,14 @@
 	}
 	m.Interference = p.storedInterference()
 	if size := proto.Size(m); size > maxLearnedStateBytes {
-		// All entries have about the same size; the speeds of workers that do
-		// not fit are learned again.
-		keep := len(m.Speeds) * maxLearnedStateBytes / size * 9 / 10
-		p.Log.V(1).Info("learned state truncated", "bytes", size, "workers", len(m.Speeds), "kept", keep)
-		m.Speeds = m.Speeds[:keep]
+		// All speeds have about the same size and get the space that the rest
+		// leaves; those of workers that do not fit are learned again.
+		speeds := m.Speeds
+		m.Speeds = nil
+		other := proto.Size(m)
+		keep := len(speeds) * max(maxLearnedStateBytes-other, 0) / max(size-other, 1) * 9 / 10
+		p.Log.V(1).Info("learned state truncated", "bytes", size, "workers", len(speeds), "kept", keep)
+		m.Speeds = speeds[:keep]
 	}
 	value, err := proto.Marshal(m)
 	if err != nil || len(value) > maxLearnedStateBytes {
--- a/scheduler/interference/interference.go
+++ b/scheduler/interference/interference.go
@@ -8,7 +8,7 @@
 )
 
 // maxKinds bounds the number of kinds with a model. The least recently observed one
-// is replaced.
+// is replaced, one with known pairs only if all have some.
 const maxKinds = 64
 
 // Estimator learns which kinds slow each other down. It is not safe for concurrent
@@ -50,8 +50,12 @@
 // decision.
 func (e *Estimator) Known() bool { return e.known > 0 }
 
-// Observe records a report about a run and returns the run with it.
+// Observe records a report about a run and returns the run with it. It ignores a
+// report whose progress is not finite.
 func (e *Estimator) Observe(r Run, s Sample) Run {
+	if math.IsNaN(s.Progress) || math.IsInf(s.Progress, 0) {
+		return r
+	}
 	elapsed := s.At.Sub(r.since)
 	if r.since.IsZero() || elapsed < 0 || elapsed > maxWindow || len(s.Presences) != len(r.presences) || s.Progress < r.progress {
 		return r.withWindow(s)
@@ -117,7 +121,8 @@
 	}
 	if len(e.models) >= maxKinds {
 		e.remove(slices.MinFunc(slices.Collect(maps.Keys(e.models)), func(a, b Kind) int {
-			return cmp.Or(cmp.Compare(e.models[a].seen, e.models[b].seen), a.compare(b))
+			ma, mb := e.models[a], e.models[b]
+			return cmp.Or(cmp.Compare(min(ma.knownPairs(), 1), min(mb.knownPairs(), 1)), cmp.Compare(ma.seen, mb.seen), a.compare(b))
 		}))
 	}
 	m := newModel()
@@ -172,7 +177,7 @@
 }
 
 // Restore adds a known pair of another estimator. Values that no estimator gives
-// out are ignored.
+// out are ignored; a variance below minVariance is raised to it.
 func (e *Estimator) Restore(p Pair) {
 	valid := p.Slowdown >= lostSlowdown && p.Slowdown <= maxStoredSlowdown && p.Variance > 0 && p.Variance <= priorVariance && p.Runs >= minRuns
 	if !valid || e.models[p.Kind] == nil && len(e.models) >= maxKinds {
@@ -183,7 +188,7 @@
 	if i < 0 {
 		return
 	}
-	m.slowdown[i], m.covariance[i][i] = p.Slowdown, p.Variance
+	m.slowdown[i], m.covariance[i][i] = p.Slowdown, max(p.Variance, minVariance)
 	m.neighbours[i].runs, m.neighbours[i].workers = p.Runs, math.MaxUint64
 	if !m.neighbours[i].known {
 		m.neighbours[i].known = true
--- a/scheduler/interference/interference_test.go
+++ b/scheduler/interference/interference_test.go
@@ -230,6 +230,50 @@
 	}
 }
 
+// TestRestoredPairCanBeUnlearned guards against a stored variance that is so small
+// that no later window changes the slowdown.
+func TestRestoredPairCanBeUnlearned(t *testing.T) {
+	e := New()
+	e.Restore(Pair{Kind: testKind("a"), Neighbour: testKind("b"), Slowdown: 0.5, Variance: 1e-300, Runs: 20})
+	if pairs := e.Pairs(); len(pairs) != 1 || pairs[0].Variance < minNoise/memory {
+		t.Errorf("%+v, want one with a variance of at least %v", pairs, minNoise/memory)
+	}
+}
+
+// TestProgressThatIsNotFiniteIsIgnored guards against a report that makes an
+// estimate, or the baseline of a run, infinite or not a number.
+func TestProgressThatIsNotFiniteIsIgnored(t *testing.T) {
+	for _, progress := range []float64{math.NaN(), math.Inf(1), math.Inf(-1)} {
+		e := New()
+		at := time.Unix(0, 0)
+		sample := func(progress float64) Sample {
+			at = at.Add(time.Second)
+			return Sample{Kind: testKind("a"), Worker: "w", At: at, Progress: progress, Presences: []Presence{{}}}
+		}
+		before := e.Observe(e.Observe(Run{}, sample(0.1)), sample(0.2))
+		if got := e.Observe(before, sample(progress)); fmt.Sprint(got) != fmt.Sprint(before) {
+			t.Errorf("progress %v: %+v, want %+v", progress, got, before)
+		}
+		if got := e.Observe(Run{}, sample(progress)); !got.since.IsZero() {
+			t.Errorf("first progress %v: %+v", progress, got)
+		}
+	}
+}
+
+// TestKindWithKnownPairsIsKept guards against kinds without evidence that evict a
+// known pair.
+func TestKindWithKnownPairsIsKept(t *testing.T) {
+	e := New()
+	e.Restore(Pair{Kind: testKind("a"), Neighbour: testKind("b"), Slowdown: 0.5, Variance: 0.01, Runs: 20})
+	for i := range 2 * maxKinds {
+		e.observations++
+		e.model(testKind(fmt.Sprint(i))).seen = e.observations
+	}
+	if len(e.models) != maxKinds || !e.Known() {
+		t.Errorf("%d kinds, %d known pairs", len(e.models), len(e.Pairs()))
+	}
+}
+
 // TestFactorIsBounded guards against an estimate that outweighs everything else.
 func TestFactorIsBounded(t *testing.T) {
 	e := New()
--- a/scheduler/interference/model.go
+++ b/scheduler/interference/model.go
@@ -23,6 +23,9 @@
 	// memory is the number of windows, in which a neighbour came or went, that
 	// determine its slowdown. Older ones are forgotten.
 	memory = 60
+	// minVariance is the lowest variance of a restored slowdown, to which the filter
+	// converges with minNoise. A pair with a lower one would not be unlearned.
+	minVariance = minNoise / memory
 	// maxDeviation is how many standard deviations one window may differ from what
 	// is expected; a worker that stalls for a moment counts no more than that.
 	maxDeviation = 3
@@ -149,6 +152,17 @@
 	return moved
 }
 
+// knownPairs returns the number of known neighbours.
+func (m *model) knownPairs() int {
+	n := 0
+	for i := range m.neighbours {
+		if m.neighbours[i].known {
+			n++
+		}
+	}
+	return n
+}
+
 // deviations returns the slowdown of a neighbour in standard errors.
 func (m *model) deviations(i int) float64 {
 	return m.slowdown[i] / math.Sqrt(max(m.covariance[i][i], 1e-9))
