--- a/daisylug/console/config.go
+++ b/daisylug/console/config.go
@@ -13,7 +13,7 @@
 )
 
 type configCommand struct {
-	Check configCheck `cmd:"" help:"Check a file of teams or templates without an instance: what would be refused, what can have no effect, and with --against what it changes."`
+	Check configCheck `cmd:"" help:"Check a file of teams or templates without an instance: what would be refused, what can have no effect, and with --against what it changes. Not checked are guarantees against the capacity of the workers, labels and time limits, because the files name none of these."`
 }
 
 type configCheck struct {
--- a/daisylug/console/config_test.go
+++ b/daisylug/console/config_test.go
@@ -56,6 +56,10 @@
 			}
 		})
 	}
+	// A user who takes the check for complete applies guarantees that do not fit.
+	if r := run(t, nil, "", "config", "check", "--help"); !strings.Contains(collapseSpaces(r.out), "Not checked are guarantees against the capacity of the workers") {
+		t.Errorf("the help does not say what is not checked\n%s", r.out)
+	}
 	if r := run(t, nil, "", "config", "check", "-", "--against=-"); r.code != ExitUsage {
 		t.Errorf("two files from the standard input: exit code %d\n%s", r.code, r.err)
 	}
