--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -98,8 +98,8 @@
 	// Share orders groups of the same priority and usefulness while not all can be
 	// done in time, lower first; 0 leaves the order by age.
 	Share float64
-	// Slowdown is the factor by which the tasks are expected to be slower on each
-	// worker, by position in the view, because of what runs there. It is nil if
+	// Slowdown is the factor by which the tasks and what runs on each worker, by
+	// position in the view, are expected to slow each other down. It is nil if
 	// nothing is known.
 	Slowdown []float64
 }
@@ -177,6 +177,9 @@
 	// StopCauses has an entry for each stop.
 	StopCauses   []StopCause
 	Reservations []Reservation
+	// Separations lists groups that their slowdown placed elsewhere, for at most
+	// maxSeparationChecks of the groups that start.
+	Separations []Separation
 }
 
 // Decide places waiting tasks in the order of rank. It is designed for gangs of
@@ -237,7 +240,9 @@
 	// startedLimited counts the tasks started by this decision on workers whose
 	// trust is limited, by position in the view.
 	startedLimited map[int]int
-	result         Decision
+	// separationChecks counts the groups that were placed a second time.
+	separationChecks int
+	result           Decision
 }
 
 // indexRacks numbers the racks in the order of their names.
@@ -307,6 +312,7 @@
 		}
 		return
 	}
+	d.recordSeparation(position, slots)
 	for i, w := range slots {
 		if i > 0 && g.Priority > 0 && !g.Gang && !d.leavesReserve(g) {
 			return
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -139,6 +139,7 @@
 	measureRank int
 	speedRank   int
 	rackFree    int64
+	slowdown    float64
 	// fit and secondFit are the free resources that best fit compares: the
 	// accelerators and the processor, or the memory and the accelerators for a group
 	// that needs memory most.
@@ -154,6 +155,8 @@
 		return c.speedRank - o.speedRank
 	case c.rackFree != o.rackFree:
 		return cmp.Compare(c.rackFree, o.rackFree)
+	case c.slowdown != o.slowdown:
+		return cmp.Compare(c.slowdown, o.slowdown)
 	case c.fit != o.fit:
 		return cmp.Compare(c.fit, o.fit)
 	case c.secondFit != o.secondFit:
@@ -163,9 +166,9 @@
 }
 
 // fill is a best-fit placement: it takes workers of the best speed rank first, on
-// the racks with the fewest free accelerators and then those with the fewest free
-// resources themselves, so that whole racks stay free for adjacent gangs. Workers
-// whose speed the group would measure go before all others. It returns the worker
+// the racks with the fewest free accelerators, of these the ones with the least
+// slowdown and then those with the fewest free resources themselves, so that whole
+// racks stay free for adjacent gangs. Workers whose speed the group would measure go before all others. It returns the worker
 // of each task, or nil if nothing or only a part of a gang fits.
 func (d *decider) fill(g *Group, workers []int) []int {
 	candidates := d.candidates[:0]
@@ -197,6 +200,7 @@
 		} else {
 			c.fit, c.secondFit = d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
 		}
+		c.slowdown = g.slowdown(c.worker)
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
 	slots := make([]int, 0, len(g.Indexes))
--- a/scheduler/control/learnedstate.go
+++ b/scheduler/control/learnedstate.go
@@ -56,6 +56,7 @@
 		}
 	}
 	p.inheritTrust(m.GetTrust())
+	p.restoreInterference(m.GetInterference())
 	p.Log.Info("learned state loaded", "speeds", len(m.GetSpeeds()), "queues", len(m.GetTimes()))
 	return nil
 }
@@ -99,13 +100,16 @@
 		}
 		m.Times = append(m.Times, t)
 	}
+	m.Interference = p.storedInterference()
 	if size := proto.Size(m); size > maxLearnedStateBytes {
-		// All speeds have about the same size; those of workers that do not fit
-		// are learned again.
-		other := proto.Size(&schema.Experience{Times: m.Times, Trust: m.Trust})
-		keep := len(m.Speeds) * max(maxLearnedStateBytes-other, 0) / max(size-other, 1) * 9 / 10
-		p.Log.V(1).Info("learned state truncated", "bytes", size, "workers", len(m.Speeds), "kept", keep)
-		m.Speeds = m.Speeds[:keep]
+		// All speeds have about the same size and get the space that the rest
+		// leaves; those of workers that do not fit are learned again.
+		speeds := m.Speeds
+		m.Speeds = nil
+		other := proto.Size(m)
+		keep := len(speeds) * max(maxLearnedStateBytes-other, 0) / max(size-other, 1) * 9 / 10
+		p.Log.V(1).Info("learned state truncated", "bytes", size, "workers", len(speeds), "kept", keep)
+		m.Speeds = speeds[:keep]
 	}
 	value, err := proto.Marshal(m)
 	if err != nil || len(value) > maxLearnedStateBytes {
