control, adapter: small services decide as before

There one job takes a large part of the workers: trials, shares and spared stops cost more than they gain.

Tests of control and assignment pass.

--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -75,10 +75,11 @@
 	// EvacuationTimeout is the time within which the start of tasks in an evacuated
 	// data centre must end, or 0 if the platform sets none.
 	EvacuationTimeout time.Duration
-	// MinTrialWorkers is the number of workers from which a service tries failing
-	// workers with one task at a time.
-	MinTrialWorkers int
-	Timing          control.Timing
+	// LargeServiceWorkers is the number of workers from which a service tries failing
+	// workers with one task at a time, shares its capacity between teams under
+	// overload and refuses work that would be too late.
+	LargeServiceWorkers int
+	Timing              control.Timing
 }
 
 // Server is one entry instance.
--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -147,8 +147,10 @@
 type View struct {
 	Now     time.Time
 	Workers []Worker
-	Groups  []Group
-	Running []Running
+	// IgnoreMemory is set if best fit compares accelerators and processors only.
+	IgnoreMemory bool
+	Groups       []Group
+	Running      []Running
 	// Reserve is the number of accelerators to keep free for expected urgent
 	// work.
 	Reserve int64
--- a/scheduler/assignment/scarcity.go
+++ b/scheduler/assignment/scarcity.go
@@ -6,7 +6,7 @@
 // the largest share of the workers of its service. Best fit then compares the free
 // memory of workers before their accelerators.
 func (d *decider) memoryIsScarcest(g *Group) bool {
-	if g.Need.MemoryMB <= 0 {
+	if d.view.IgnoreMemory || g.Need.MemoryMB <= 0 {
 		return false
 	}
 	capacity := d.serviceCapacity(g.Service)
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -129,7 +129,8 @@
 		})
 	}
 	p.setReserve(v, now)
-	v.input.Stopping = p.Timing.stopPolicy()
+	v.input.IgnoreMemory = !p.hasLargeService()
+	v.input.Stopping = p.timing().stopPolicy()
 	live := p.liveByAcceptance()
 	covered := p.coveredJobs(live)
 	for _, j := range live {
--- a/scheduler/control/demand.go
+++ b/scheduler/control/demand.go
@@ -156,7 +156,7 @@
 			continue
 		}
 		paths := p.criticalPaths(j)
-		if !p.needsRoom(j, paths, now) {
+		if p.hasLargeService() && !p.needsRoom(j, paths, now) {
 			continue
 		}
 		service := p.service(j)
@@ -164,7 +164,7 @@
 			capacity[service] = p.largestWorker(service)
 		}
 		workers, perWorker := 0, batch.Resources{}
-		if p.Timing.statesCheapStops() {
+		if p.timing().statesCheapStops() {
 			workers, perWorker = j.gangWorkers(capacity[service])
 		}
 		if workers == 0 {
--- a/scheduler/control/evacuation.go
+++ b/scheduler/control/evacuation.go
@@ -193,7 +193,7 @@
 		r.Remaining = max(r.Remaining, p.remainingTime(m, now))
 		slowest = min(slowest, p.currentSpeed(m.worker, now))
 	}
-	r.Elsewhere = p.Timing.restartTime() + p.Timing.unsavedTime() + time.Duration(float64(r.Remaining)*slowest)
+	r.Elsewhere = p.timing().restartTime() + p.timing().unsavedTime() + time.Duration(float64(r.Remaining)*slowest)
 	if r.Resumable && r.Remaining > r.Elsewhere {
 		service := p.service(pl.job)
 		if _, ok := spare[service]; !ok {
--- a/scheduler/control/interference.go
+++ b/scheduler/control/interference.go
@@ -60,7 +60,7 @@
 		}
 		s.Latency = pl.tailLatency
 	}
-	resuming := pl.job.progress.Task(pl.job.spec, pl.id).Checkpoint != "" && pl.runTime(now) < p.Timing.restartTime()
+	resuming := pl.job.progress.Task(pl.job.spec, pl.id).Checkpoint != "" && pl.runTime(now) < p.timing().restartTime()
 	if pl.worker.cold(now) || pl.throttled() || resuming {
 		pl.observed = interference.Run{}
 		return
--- a/scheduler/control/ordering.go
+++ b/scheduler/control/ordering.go
@@ -124,7 +124,11 @@
 		}
 	}
 	for service, m := range services {
-		p.updateLoad(service, m, v.input.Now)
+		// In a small service one job is a large part of the load, so that shares and
+		// forecasts, which are averages over many jobs, mislead.
+		if m.workers >= p.LargeServiceWorkers {
+			p.updateLoad(service, m, v.input.Now)
+		}
 	}
 }
 
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -66,12 +66,13 @@
 	// Evacuations returns the data centres to evacuate, and false while it is not
 	// known for certain which they are.
 	Evacuations func() (evacuation.Set, bool)
-	// MinTrialWorkers is the number of workers from which a service tries failing
-	// workers with one task at a time.
-	MinTrialWorkers int
-	Timing          Timing
-	Log             klog.Logger
-	Metrics         *metrics.Set
+	// LargeServiceWorkers is the number of workers from which a service tries failing
+	// workers with one task at a time, shares its capacity between teams under
+	// overload and refuses work that would be too late.
+	LargeServiceWorkers int
+	Timing              Timing
+	Log                 klog.Logger
+	Metrics             *metrics.Set
 }
 
 // LeaseRenewalGracePeriod is how long leases are still renewed without a
--- a/scheduler/control/report.go
+++ b/scheduler/control/report.go
@@ -82,7 +82,7 @@
 	p.checkRun(pl, r.Progress, now)
 	pl.reportedProgress, pl.tailLatency = r.Progress, r.TailLatency
 	p.sampleSpeed(pl, r.Progress, now)
-	pl.recordCheckpoint(r.Checkpoint, p.Timing.unsavedTime(), now)
+	pl.recordCheckpoint(r.Checkpoint, p.timing().unsavedTime(), now)
 	p.sampleInterference(pl, r.Progress, now)
 	if pl.phase == phaseStarting || pl.phase == phaseInherited {
 		p.confirmRun(pl, now)
--- a/scheduler/control/speed.go
+++ b/scheduler/control/speed.go
@@ -13,7 +13,7 @@
 // that of a typical one. Earlier deployments, which do not state the cost of a
 // stop, count on the typical one. The caller holds the lock.
 func (p *Planner) unknownSpeed() float64 {
-	if !p.Timing.statesCheapStops() {
+	if !p.timing().statesCheapStops() {
 		return 0
 	}
 	speed, ok := p.speeds.Quantile(unknownSpeedQuantile)
@@ -36,7 +36,7 @@
 // which reveals the speed of its slowest worker. Only one member is sampled, since
 // all progress together. The caller holds the lock.
 func (p *Planner) sampleGang(pl *placement, total time.Duration, now time.Time) {
-	if !p.Timing.statesCheapStops() || pl.id.Index != 0 {
+	if !p.timing().statesCheapStops() || pl.id.Index != 0 {
 		return
 	}
 	expected := p.estimator.Estimate(pl.job.estimationJob(pl.step))
@@ -60,7 +60,7 @@
 // the lock.
 func (p *Planner) runSpeed(pl *placement) float64 {
 	speed := p.speeds.Speed(pl.worker.info.ID)
-	if pl.step.Gang && p.Timing.statesCheapStops() {
+	if pl.step.Gang && p.timing().statesCheapStops() {
 		for _, m := range p.gangMembers(pl) {
 			speed = min(speed, p.speeds.Speed(m.worker.info.ID))
 		}
--- a/scheduler/control/stopping.go
+++ b/scheduler/control/stopping.go
@@ -36,6 +36,17 @@
 	return stated && t.CheckpointInterval+t.RestoreTime <= maxStatedStopCost
 }
 
+// timing returns the time limits of the deployment. Without a large service they
+// state no cost of stops: where a job takes a large part of all workers, sparing stops
+// and keeping whole workers free cost more than they gain.
+func (p *Planner) timing() Timing {
+	t := p.Timing
+	if !p.hasLargeService() {
+		t.CheckpointInterval, t.RestoreTime = 0, 0
+	}
+	return t
+}
+
 // unsavedTime returns the longest time for which the work of a run may be unsaved.
 func (t Timing) unsavedTime() time.Duration {
 	if t.statesCheapStops() && t.CheckpointInterval > 0 {
@@ -157,7 +168,7 @@
 // to become free. A stop that exceeds its time limit does not count, since the
 // worker may not respond.
 func (p *Planner) endsByStop(pl *placement, now time.Time) bool {
-	return p.Timing.statesCheapStops() && pl.phase == phaseStopping && now.Sub(pl.stoppedAt) < p.Timing.StopTimeout
+	return p.timing().statesCheapStops() && pl.phase == phaseStopping && now.Sub(pl.stoppedAt) < p.Timing.StopTimeout
 }
 
 // endsSoon reports whether a run will end by itself about as soon as it could
@@ -172,12 +183,12 @@
 func (p *Planner) lostWork(pl *placement, now time.Time) float64 {
 	lost := pl.runTime(now)
 	if pl.step.Checkpoints {
-		lost = min(lost, p.Timing.unsavedTime())
-		if p.Timing.statesCheapStops() && !pl.checkpointAt.IsZero() {
+		lost = min(lost, p.timing().unsavedTime())
+		if p.timing().statesCheapStops() && !pl.checkpointAt.IsZero() {
 			lost = min(lost, now.Sub(pl.checkpointAt))
 		}
 	}
-	return (lost + p.Timing.restartTime()).Seconds() * pl.step.Need.Cores()
+	return (lost + p.timing().restartTime()).Seconds() * pl.step.Need.Cores()
 }
 
 // recordCheckpoint records the checkpoint in a report of the run. A new one was
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -70,12 +70,22 @@
 	}
 }
 
+// hasLargeService reports whether a service has at least LargeServiceWorkers workers.
+func (p *Planner) hasLargeService() bool {
+	for _, n := range p.trust.listed {
+		if n >= p.LargeServiceWorkers {
+			return true
+		}
+	}
+	return p.LargeServiceWorkers == 0
+}
+
 // usesTrials reports whether workers of the service get trials, and work waits for
 // proven ones. In a small service the workers on trial are a large part of each rack,
 // so that gangs would wait longer than the failures cost; there workers are only
 // excluded for a while.
 func (p *Planner) usesTrials(service string) bool {
-	return p.trust.listed[service] >= p.MinTrialWorkers
+	return p.trust.listed[service] >= p.LargeServiceWorkers
 }
 
 // available reports whether the worker may get new tasks and is not excluded.
--- a/scheduler/control/trust_test.go
+++ b/scheduler/control/trust_test.go
@@ -389,3 +389,31 @@
 		})
 	}
 }
+
+// TestSmallServiceHasNoTrials guards against a small service in which workers on
+// trial, a large part of each rack, make gangs wait: there a worker is only excluded
+// for a while.
+func TestSmallServiceHasNoTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 8)
+		p, stop := f.startPlanner()
+		defer stop()
+		time.Sleep(settleTime)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := time.Now()
+		w := p.workers["w00"]
+		w.trust = trust.State{}.WithRestart(now).WithFailure(trust.Failure{Started: now, At: now})
+		for _, c := range []struct {
+			large   int
+			after   time.Duration
+			limited bool
+		}{{9, 0, true}, {9, trust.MinExclusion, false}, {8, trust.MinExclusion, true}} {
+			p.LargeServiceWorkers = c.large
+			p.refreshTrust(now.Add(c.after))
+			if got := p.workerTrust(w, now.Add(c.after)); got.Limited != c.limited || c.large > 8 && got.Unproven {
+				t.Errorf("large from %d workers, %s after the failure: %+v", c.large, c.after, got)
+			}
+		}
+	})
+}
