--- a/daisylugd/entry/handover.go
+++ b/daisylugd/entry/handover.go
@@ -25,10 +25,10 @@
 	// fasterFactor is the factor of the weight from which on an instance decides
 	// clearly faster.
 	fasterFactor = 1.2
-	// handOverPause is the time between a hand-over because of the path or slow
+	// handOverBackoff is the time between a hand-over because of the path or slow
 	// decisions, and the next hand-over of any kind. It is about the length of the
 	// outages of paths that were seen.
-	handOverPause = 10 * time.Second
+	handOverBackoff = 10 * time.Second
 	// relayedFreshness is the age up to which an answer of a relayed call shows that
 	// the store serves others. Renewals are made every 400 ms.
 	relayedFreshness = 1 * time.Second
--- a/daisylugd/entry/handover_test.go
+++ b/daisylugd/entry/handover_test.go
@@ -233,10 +233,10 @@
 	now := time.Now()
 	var n succession
 	n.announce(nomination{3, "a"}, now)
-	if n.withdraw(3, now.Add(handOverPause-1)) {
+	if n.withdraw(3, now.Add(handOverBackoff-1)) {
 		t.Error("withdrawn while it is needed")
 	}
-	if !n.withdraw(0, now.Add(handOverPause)) || n.withdraw(0, now.Add(handOverPause)) {
+	if !n.withdraw(0, now.Add(handOverBackoff)) || n.withdraw(0, now.Add(handOverBackoff)) {
 		t.Error("not withdrawn once after the pause")
 	}
 	if _, seenAt := n.get(); !seenAt.Equal(now) {
--- a/daisylugd/entry/successor.go
+++ b/daisylugd/entry/successor.go
@@ -77,11 +77,11 @@
 }
 
 // withdraw reports, once, that this instance need not announce its nomination any
-// longer: a later term than the nominating one is known, or handOverPause is over.
+// longer: a later term than the nominating one is known, or handOverBackoff is over.
 func (s *succession) withdraw(latestTerm uint64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.announced == 0 || latestTerm <= s.announced && now.Sub(s.announcedAt) < handOverPause {
+	if s.announced == 0 || latestTerm <= s.announced && now.Sub(s.announcedAt) < handOverBackoff {
 		return false
 	}
 	s.announced = 0
@@ -209,7 +209,7 @@
 		weight: e.group.Self().Weight, path: e.services.Store.pathHealth(), slowSince: slowSince, draining: e.draining.Load(),
 	}
 	if _, seenAt := e.succession.get(); !seenAt.IsZero() {
-		state.pausedUntil = seenAt.Add(handOverPause)
+		state.pausedUntil = seenAt.Add(handOverBackoff)
 	}
 	for _, p := range e.group.Peers() {
 		if e.isCandidate(p) {
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -138,7 +138,7 @@
 	if !g.Guaranteed {
 		return
 	}
-	end := g.ReadySince.Add(trust.MaxGuaranteedWait)
+	end := g.ReadySince.Add(trust.GuaranteedWaitTimeout)
 	if g.ProvenOnlyUntil.After(end) {
 		g.ProvenOnlyUntil = end
 	}
--- a/scheduler/control/trustgroup_test.go
+++ b/scheduler/control/trustgroup_test.go
@@ -289,7 +289,7 @@
 			}
 			p.mu.Unlock()
 			f.submit(p, batchJob("j", "urgent", "a", "1s", gang(n, 1)))
-			time.Sleep(trust.MaxGuaranteedWait + 900*time.Millisecond)
+			time.Sleep(trust.GuaranteedWaitTimeout + 900*time.Millisecond)
 			if got := f.countStarts("j"); got != n {
 				t.Errorf("%d of %d starts", got, n)
 			}
--- a/scheduler/trust/attribution.go
+++ b/scheduler/trust/attribution.go
@@ -54,9 +54,9 @@
 	// waits for proven workers. The rest is left for the delays of the start and
 	// for a run that takes longer than expected.
 	waitShare = 0.5
-	// MaxGuaranteedWait bounds the wait of guaranteed groups, which have to start
+	// GuaranteedWaitTimeout bounds the wait of guaranteed groups, which have to start
 	// within a few seconds of their acceptance.
-	MaxGuaranteedWait = 1 * time.Second
+	GuaranteedWaitTimeout = 1 * time.Second
 )
 
 // ProvenOnlyUntil returns until when tasks that became ready at the given time wait
@@ -68,7 +68,7 @@
 	}
 	wait := time.Duration(waitShare * float64(slack))
 	if guaranteed {
-		wait = min(wait, MaxGuaranteedWait)
+		wait = min(wait, GuaranteedWaitTimeout)
 	}
 	return ready.Add(wait)
 }
