review: LOST when the adviser's address changes in the settings

Cause: a reload of the settings doesn't apply the address of the adviser. The settings files change while the instances run, and the planner's machine gets SIGHUP.

--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+)
+
+// cases holds the cases by name. A case returns how the rule was broken, or "".
+var cases = map[string]func(d *deployment, trouble bool) (string, error){
+	"adviser-moved":   adviserMoved,
+	"advised-reclaim": advisedReclaim,
+	"queue-removed":   queueRemoved,
+	"lasting-starved": lastingUnitStarved,
+}
+
+// whole is the capacity of a worker of the site.
+var whole = room{64000, 131072, 8}
+
+// setUp starts workers and instances with a desired state.
+func (d *deployment) setUp(workers, guaranteed int, queues ...queue) error {
+	d.configure(7, guaranteed, queues...)
+	for i := range workers {
+		if _, err := d.world.addWorker(fmt.Sprintf("i-7f3a91%02x", i), fmt.Sprintf("r1-%d", i/4), whole); err != nil {
+			return err
+		}
+	}
+	if err := d.startInstances(4); err != nil {
+		return err
+	}
+	// The planner has read the registry and has polled the workers.
+	time.Sleep(3 * time.Second)
+	return nil
+}
+
+// adviserMoved moves the adviser to another address: the settings files change, and
+// a machine gets SIGHUP.
+func adviserMoved(d *deployment, trouble bool) (string, error) {
+	if err := d.setUp(6, 0, queue{"plan", 1, true}); err != nil {
+		return "", err
+	}
+	unit := step{room: room{4000, 8000, 1}, Count: 2, Estimate: 1000, Work: time.Second, Advised: true}
+	if err := d.submit("plan", "00000000000000a1", unit); err != nil {
+		return "", err
+	}
+	if !d.awaitState("plan", "00000000000000a1", "completed", 15*time.Second) {
+		return "", fmt.Errorf("the first job did not end")
+	}
+	if trouble {
+		former := d.adviser
+		next, err := newAdviser(d.world)
+		if err != nil {
+			return "", err
+		}
+		d.adviser = next
+		if err := d.rewriteSettings(); err != nil {
+			return "", err
+		}
+		former.close()
+		leader := d.leader()
+		if leader == nil {
+			return "", fmt.Errorf("no planner")
+		}
+		d.rec.write("settings changed", "recommendation", next.address, "sighup", leader.name)
+		if err := leader.process.Process.Signal(syscall.SIGHUP); err != nil {
+			return "", err
+		}
+	}
+	// The span for which a machine counts as in touch again, and the interval at which
+	// files without a signal are read.
+	time.Sleep(8 * time.Second)
+	if err := d.submit("plan", "00000000000000a2", unit); err != nil {
+		return "", err
+	}
+	if took, ok := d.awaitRunning("00000000000000a2", 1, 40*time.Second); !ok {
+		return fmt.Sprintf("LOST: accepted job 00000000000000a2 has nothing running for %v, with all workers free; it is shown as %s",
+			took, d.state("plan", "00000000000000a2")), nil
+	}
+	if !d.awaitState("plan", "00000000000000a2", "completed", 15*time.Second) {
+		return "LOST: the second job did not end", nil
+	}
+	return "", nil
+}
+
+// advisedReclaim fills all workers with the long-running tasks of others, and then
+// asks for the guaranteed accelerators in an advised queue.
+func advisedReclaim(d *deployment, trouble bool) (string, error) {
+	const reclaim = 3400 * time.Millisecond
+	// CONTROL=1 shows that the guarantee holds for a queue that is not advised.
+	advised := os.Getenv("CONTROL") == ""
+	if err := d.setUp(4, 8, queue{"bulk", 2, false}, queue{"quick", 0, advised}); err != nil {
+		return "", err
+	}
+	fillers := 4
+	if !trouble {
+		fillers = 2
+	}
+	for i := range fillers {
+		id := fmt.Sprintf("00000000000000b%x", i)
+		if err := d.submit("bulk", id, step{room: room{8000, 16000, 8}, Count: 1, LongRunning: true}); err != nil {
+			return "", err
+		}
+		if _, ok := d.awaitRunning(id, 1, 10*time.Second); !ok {
+			return "", fmt.Errorf("the bulk job did not start")
+		}
+	}
+	time.Sleep(4 * time.Second)
+	if err := d.submit("quick", "00000000000000c1", step{room: room{8000, 16000, 8}, Count: 1, Estimate: 2500, Work: 2500 * time.Millisecond, Advised: advised}); err != nil {
+		return "", err
+	}
+	if _, ok := d.awaitRunning("00000000000000c1", 1, reclaim); ok {
+		return "", nil
+	}
+	took, ok := d.awaitRunning("00000000000000c1", 1, 40*time.Second)
+	if ok {
+		return fmt.Sprintf("RECLAIM: a guaranteed job began only %v after its confirmation", reclaim+took), nil
+	}
+	return fmt.Sprintf("RECLAIM: a guaranteed job had begun nothing %v after its confirmation", reclaim+took), nil
+}
+
+// queueRemoved removes the route of an advised queue while an accepted job waits.
+func queueRemoved(d *deployment, trouble bool) (string, error) {
+	bulk, plan := queue{"bulk", 2, false}, queue{"plan", 2, true}
+	if err := d.setUp(2, 0, bulk, plan); err != nil {
+		return "", err
+	}
+	for i := range 2 {
+		id := fmt.Sprintf("00000000000000b%x", i)
+		if err := d.submit("bulk", id, step{room: room{8000, 16000, 8}, Count: 1, Estimate: 8000, Work: 8 * time.Second}); err != nil {
+			return "", err
+		}
+		if _, ok := d.awaitRunning(id, 1, 10*time.Second); !ok {
+			return "", fmt.Errorf("the bulk job did not start")
+		}
+	}
+	if err := d.submit("plan", "00000000000000a1", step{room: room{4000, 8000, 1}, Count: 1, Estimate: 1000, Work: time.Second, Advised: true}); err != nil {
+		return "", err
+	}
+	if trouble {
+		d.configure(9, 0, bulk)
+	}
+	time.Sleep(12 * time.Second)
+	d.world.mu.Lock()
+	busy := 0
+	for _, w := range d.world.workers {
+		busy += len(w.running)
+	}
+	d.world.mu.Unlock()
+	d.rec.write("workers", "runs", busy)
+	if _, ok := d.awaitEnd("00000000000000a1", 25*time.Second); !ok {
+		return "LOST: an accepted job whose queue was removed never runs, with all workers free", nil
+	}
+	return "", nil
+}
+
+// awaitEnd waits until a work unit of a job has ended done.
+func (d *deployment) awaitEnd(id string, limit time.Duration) (time.Duration, bool) {
+	start := time.Now()
+	for time.Since(start) < limit {
+		d.world.mu.Lock()
+		done := d.world.done[id]
+		d.world.mu.Unlock()
+		if done > 0 {
+			return time.Since(start), true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return limit, false
+}
+
+// lastingUnitStarved lets a worker leave on which a work unit that lasts runs, while
+// urgent jobs come at a steady pace.
+func lastingUnitStarved(d *deployment, trouble bool) (string, error) {
+	const (
+		// again is the time after its last run from which a work unit that lasts must run,
+		// idle how long it may not, and calm the time without disruption before that.
+		again = 6 * time.Second
+		idle  = 3 * time.Second
+		calm  = 4 * time.Second
+		pause = 9 * time.Second
+	)
+	if err := d.setUp(12, 0, queue{"bulk", 2, false}, queue{"quick", 0, false}); err != nil {
+		return "", err
+	}
+	lasting := func(id string, gpu, count int) error {
+		if err := d.submit("bulk", id, step{room: room{1000, 2000, gpu}, Count: count, LongRunning: true}); err != nil {
+			return err
+		}
+		if _, ok := d.awaitRunning(id, count, 10*time.Second); !ok {
+			return fmt.Errorf("job %s did not start", id)
+		}
+		return nil
+	}
+	const unit = "00000000000000d1"
+	if err := lasting(unit, 1, 1); err != nil {
+		return "", err
+	}
+	if err := lasting("00000000000000d2", 8, 7); err != nil {
+		return "", err
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for n := 0; ; n++ {
+			for i := range 4 {
+				id := fmt.Sprintf("0000000000e%04x%x", n, i)
+				go func() {
+					_ = d.submit("quick", id, step{room: room{1000, 2000, 8}, Count: 1, Estimate: 3000, Work: 3 * time.Second})
+				}()
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(pause):
+			}
+		}
+	}()
+	time.Sleep(2*pause + 5*time.Second)
+	disturbed := time.Now()
+	if trouble {
+		w := d.workerOf(unit)
+		if w == nil {
+			return "", fmt.Errorf("the work unit is on no worker")
+		}
+		w.drain()
+		disturbed = time.Now()
+	}
+	last, without, worst := time.Now(), time.Time{}, time.Duration(0)
+	for end := time.Now().Add(45 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		now := time.Now()
+		if d.running(unit) > 0 {
+			last, without = now, time.Time{}
+			continue
+		}
+		if now.Sub(last) < again || now.Sub(disturbed) < calm || d.freeSlots(room{1000, 2000, 1}) < 2 {
+			without = time.Time{}
+			continue
+		}
+		if without.IsZero() {
+			without = now
+		}
+		if now.Sub(without) > worst {
+			worst = now.Sub(without)
+		}
+	}
+	if worst >= idle {
+		return fmt.Sprintf("LOST: a work unit that lasts had nothing running for %v at a time with room for it; last run %v ago",
+			worst.Round(time.Millisecond), time.Since(last).Round(time.Second)), nil
+	}
+	return "", nil
+}
