review: hold all ports of an instance while they are chosen

Change: the listeners are kept until each address is set. The stand-in also gets the two cases that follow.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -12,7 +12,8 @@
 	"adviser-moved":   adviserMoved,
 	"advised-reclaim": advisedReclaim,
 	"queue-removed":   queueRemoved,
-	"lasting-starved": lastingUnitStarved,
+	"data-rack-full":  dataRackFull,
+	"planner-frozen":  workerAndPlannerLost,
 }
 
 // whole is the capacity of a worker of the site.
@@ -169,84 +170,122 @@
 	return limit, false
 }
 
-// lastingUnitStarved lets a worker leave on which a work unit that lasts runs, while
-// urgent jobs come at a steady pace.
-func lastingUnitStarved(d *deployment, trouble bool) (string, error) {
+// Bounds of rule LOST for a work unit that lasts: again is the time after its last run
+// from which it must run, idle how long it may not, and calm the time without
+// disruption before that.
+const (
+	again = 6 * time.Second
+	idle  = 3 * time.Second
+	calm  = 4 * time.Second
+)
+
+// lasting starts a job whose work units last.
+func (d *deployment) lasting(id string, s step) error {
+	s.LongRunning = true
+	if err := d.submit("bulk", id, s); err != nil {
+		return err
+	}
+	if _, ok := d.awaitRunning(id, s.Count, 10*time.Second); !ok {
+		return fmt.Errorf("job %s did not start", id)
+	}
+	return nil
+}
+
+// watchLasting watches a job with one work unit that lasts, and returns how rule LOST
+// was broken, or "". The disruption ends at the given time.
+func (d *deployment) watchLasting(id string, need room, disturbedUntil time.Time, span time.Duration) string {
+	last, without, worst, away := time.Now(), time.Time{}, time.Duration(0), time.Duration(0)
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		now := time.Now()
+		if d.running(id) > 0 {
+			last, without = now, time.Time{}
+			continue
+		}
+		away = max(away, now.Sub(last))
+		if now.Sub(last) < again || now.Sub(disturbedUntil) < calm || d.freeSlots(need) < 2 {
+			without = time.Time{}
+			continue
+		}
+		if without.IsZero() {
+			without = now
+		}
+		worst = max(worst, now.Sub(without))
+	}
+	d.rec.write("watched", "task", id, "away", away.Round(time.Millisecond), "counted", worst.Round(time.Millisecond))
+	if worst < idle {
+		return ""
+	}
+	return fmt.Sprintf("LOST: a work unit that lasts had nothing running for %v at a time that counts, with room for it twice over; it was away for %v",
+		worst.Round(time.Millisecond), away.Round(time.Millisecond))
+}
+
+// workerAndPlannerLost lets the worker of a work unit that lasts leave at short notice
+// while the planner's machine is frozen.
+func workerAndPlannerLost(d *deployment, trouble bool) (string, error) {
 	const (
-		// again is the time after its last run from which a work unit that lasts must run,
-		// idle how long it may not, and calm the time without disruption before that.
-		again = 6 * time.Second
-		idle  = 3 * time.Second
-		calm  = 4 * time.Second
-		pause = 9 * time.Second
+		unit   = "00000000000000d1"
+		frozen = 4 * time.Second
 	)
-	if err := d.setUp(12, 0, queue{"bulk", 2, false}, queue{"quick", 0, false}); err != nil {
+	need := room{1000, 2000, 1}
+	if err := d.setUp(12, 0, queue{"bulk", 2, false}); err != nil {
 		return "", err
 	}
-	lasting := func(id string, gpu, count int) error {
-		if err := d.submit("bulk", id, step{room: room{1000, 2000, gpu}, Count: count, LongRunning: true}); err != nil {
-			return err
+	if err := d.lasting(unit, step{room: need, Count: 1}); err != nil {
+		return "", err
+	}
+	time.Sleep(5 * time.Second)
+	disturbedUntil := time.Now()
+	if trouble {
+		w, leader := d.workerOf(unit), d.leader()
+		if w == nil || leader == nil {
+			return "", fmt.Errorf("no worker or no planner")
 		}
-		if _, ok := d.awaitRunning(id, count, 10*time.Second); !ok {
-			return fmt.Errorf("job %s did not start", id)
+		w.linger = 0
+		go w.drain()
+		time.Sleep(time.Second)
+		d.rec.write("freeze", "instance", leader.name)
+		if err := leader.process.Process.Signal(syscall.SIGSTOP); err != nil {
+			return "", err
 		}
-		return nil
+		disturbedUntil = time.Now().Add(frozen)
+		time.AfterFunc(frozen, func() {
+			d.rec.write("wake", "instance", leader.name)
+			_ = leader.process.Process.Signal(syscall.SIGCONT)
+		})
 	}
+	return d.watchLasting(unit, need, disturbedUntil, 30*time.Second), nil
+}
+
+// dataRackFull lets a worker leave on which a work unit that lasts runs near its data,
+// while the other worker of that rack is full and more than half of the service is in
+// use.
+func dataRackFull(d *deployment, trouble bool) (string, error) {
 	const unit = "00000000000000d1"
-	if err := lasting(unit, 1, 1); err != nil {
+	need := room{1000, 2000, 1}
+	if err := d.setUp(12, 0, queue{"bulk", 2, false}); err != nil {
+		return "", err
+	}
+	// Three of the four workers of the rack are full, the fourth runs the unit.
+	if err := d.lasting("00000000000000d2", step{room: room{1000, 2000, 8}, Count: 3, Rack: "r1-0"}); err != nil {
+		return "", err
+	}
+	if err := d.lasting(unit, step{room: need, Count: 1, Rack: "r1-0"}); err != nil {
 		return "", err
 	}
-	if err := lasting("00000000000000d2", 8, 7); err != nil {
+	// Three of the eight workers of the other racks are full.
+	if err := d.lasting("00000000000000d3", step{room: room{1000, 2000, 8}, Count: 3}); err != nil {
 		return "", err
 	}
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		for n := 0; ; n++ {
-			for i := range 4 {
-				id := fmt.Sprintf("0000000000e%04x%x", n, i)
-				go func() {
-					_ = d.submit("quick", id, step{room: room{1000, 2000, 8}, Count: 1, Estimate: 3000, Work: 3 * time.Second})
-				}()
-			}
-			select {
-			case <-stop:
-				return
-			case <-time.After(pause):
-			}
-		}
-	}()
-	time.Sleep(2*pause + 5*time.Second)
-	disturbed := time.Now()
+	time.Sleep(3 * time.Second)
+	disturbedUntil := time.Now()
 	if trouble {
 		w := d.workerOf(unit)
 		if w == nil {
 			return "", fmt.Errorf("the work unit is on no worker")
 		}
 		w.drain()
-		disturbed = time.Now()
-	}
-	last, without, worst := time.Now(), time.Time{}, time.Duration(0)
-	for end := time.Now().Add(45 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		now := time.Now()
-		if d.running(unit) > 0 {
-			last, without = now, time.Time{}
-			continue
-		}
-		if now.Sub(last) < again || now.Sub(disturbed) < calm || d.freeSlots(room{1000, 2000, 1}) < 2 {
-			without = time.Time{}
-			continue
-		}
-		if without.IsZero() {
-			without = now
-		}
-		if now.Sub(without) > worst {
-			worst = now.Sub(without)
-		}
-	}
-	if worst >= idle {
-		return fmt.Sprintf("LOST: a work unit that lasts had nothing running for %v at a time with room for it; last run %v ago",
-			worst.Round(time.Millisecond), time.Since(last).Round(time.Second)), nil
+		disturbedUntil = time.Now()
 	}
-	return "", nil
+	d.rec.write("room", "units that fit", d.freeSlots(need))
+	return d.watchLasting(unit, need, disturbedUntil, 40*time.Second), nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -68,14 +68,18 @@
 
 func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
 
-// freeAddress returns an address of the host that nothing listens at.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses sets the addresses to ones of the host that nothing listens at. All
+// are held until each has one, so that they differ.
+func freeAddresses(ip string, addresses ...*string) error {
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = l.Close() }()
+		*a = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return nil
 }
 
 // instance is a process of the program.
@@ -136,11 +140,8 @@
 	for i := range n {
 		ip := loopbackHost()
 		x := &instance{name: fmt.Sprintf("frontend-vantaa-%d", i+1), ip: ip, settings: filepath.Join(d.folder, fmt.Sprintf("settings-%d.conf", i+1))}
-		for _, a := range []*string{&x.front, &x.ready, &x.peer} {
-			var err error
-			if *a, err = freeAddress(ip); err != nil {
-				return err
-			}
+		if err := freeAddresses(ip, &x.front, &x.ready, &x.peer); err != nil {
+			return err
 		}
 		seeds = append(seeds, x.peer)
 		d.instances = append(d.instances, x)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -37,6 +37,7 @@
 	Estimate    int           `json:"estimated_ms,omitempty"`
 	Gang        bool          `json:"gang,omitempty"`
 	LongRunning bool          `json:"long_running,omitempty"`
+	Rack        string        `json:"data_rack,omitempty"`
 	Work        time.Duration `json:"-"`
 	// Advised is set if starts need a ticket.
 	Advised bool `json:"-"`
@@ -90,6 +91,8 @@
 	server   *http.Server
 	born     time.Time
 	sequence int
+	// linger is how much longer than announced the worker serves while it drains.
+	linger time.Duration
 
 	state    string
 	fence    uint64
@@ -112,7 +115,7 @@
 // addWorker starts a worker and registers it.
 func (wo *world) addWorker(id, rack string, capacity room) (*worker, error) {
 	w := &worker{
-		world: wo, id: id, rack: rack, capacity: capacity, born: time.Now(), state: "ready",
+		world: wo, id: id, rack: rack, capacity: capacity, born: time.Now(), linger: time.Second, state: "ready",
 		running: map[string]*run{}, highest: map[string]int{},
 	}
 	mux := http.NewServeMux()
@@ -420,15 +423,18 @@
 	return b
 }
 
-// drain announces that the worker leaves, serves on for the announced time and exits.
+// drainTime is the time that a leaving worker announces.
+const drainTime = 2 * time.Second
+
+// drain announces that the worker leaves, serves on for the announced time and a
+// little longer, and exits.
 func (w *worker) drain() {
-	const drainTime = 2 * time.Second
 	w.world.mu.Lock()
 	w.state = "draining"
 	w.world.mu.Unlock()
 	w.world.rec.write("worker drains", "worker", w.id)
 	w.checkIn()
-	time.Sleep(drainTime + time.Second)
+	time.Sleep(drainTime + w.linger)
 	w.world.mu.Lock()
 	w.down = true
 	for _, r := range w.running {
