--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -14,6 +14,7 @@
 	"queue-removed":   queueRemoved,
 	"data-rack-full":  dataRackFull,
 	"planner-frozen":  workerAndPlannerLost,
+	"gang-blocked":    gangBlocked,
 }
 
 // whole is the capacity of a worker of the site.
@@ -289,3 +290,34 @@
 	d.rec.write("room", "units that fit", d.freeSlots(need))
 	return d.watchLasting(unit, need, disturbedUntil, 40*time.Second), nil
 }
+
+// gangBlocked lets a worker leave on which a work unit that lasts runs, while a large
+// gang waits for more workers than are free.
+func gangBlocked(d *deployment, trouble bool) (string, error) {
+	const unit = "00000000000000d1"
+	need := room{1000, 2000, 1}
+	if err := d.setUp(12, 0, queue{"bulk", 2, false}, queue{"plan", 1, false}); err != nil {
+		return "", err
+	}
+	if err := d.lasting(unit, step{room: need, Count: 1}); err != nil {
+		return "", err
+	}
+	if err := d.lasting("00000000000000d3", step{room: room{1000, 2000, 8}, Count: 6}); err != nil {
+		return "", err
+	}
+	if err := d.submit("plan", "00000000000000e1", step{room: room{1000, 2000, 8}, Count: 6, Gang: true, Estimate: 60000, Work: 60 * time.Second}); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	disturbedUntil := time.Now()
+	if trouble {
+		w := d.workerOf(unit)
+		if w == nil {
+			return "", fmt.Errorf("the work unit is on no worker")
+		}
+		w.drain()
+		disturbedUntil = time.Now()
+	}
+	d.rec.write("room", "units that fit", d.freeSlots(need))
+	return d.watchLasting(unit, need, disturbedUntil, 40*time.Second), nil
+}
