review: a work unit that lasts is never started again where advice and anti-affinity meet (draft)

Case: a worker leaves on which one of six advised work units runs that last and have anti_affinity 1. The planner asks the adviser about the four workers with the most room, which run the other five, and counts them as room.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -15,6 +18,8 @@
 	"data-rack-full":  dataRackFull,
 	"planner-frozen":  workerAndPlannerLost,
 	"gang-blocked":    gangBlocked,
+	"advised-apart":   advisedApart,
+	"pending-wrong":   pendingWrong,
 }
 
 // whole is the capacity of a worker of the site.
@@ -22,9 +27,15 @@
 
 // setUp starts workers and instances with a desired state.
 func (d *deployment) setUp(workers, guaranteed int, queues ...queue) error {
+	const perRack = 4
+	return d.setUpRacks(workers, perRack, guaranteed, queues...)
+}
+
+// setUpRacks is like setUp with a number of workers in each rack.
+func (d *deployment) setUpRacks(workers, perRack, guaranteed int, queues ...queue) error {
 	d.configure(7, guaranteed, queues...)
 	for i := range workers {
-		if _, err := d.world.addWorker(fmt.Sprintf("i-7f3a91%02x", i), fmt.Sprintf("r1-%d", i/4), whole); err != nil {
+		if _, err := d.world.addWorker(fmt.Sprintf("i-7f3a91%02x", i), fmt.Sprintf("r1-%d", i/perRack), whole); err != nil {
 			return err
 		}
 	}
@@ -181,9 +192,12 @@
 )
 
 // lasting starts a job whose work units last.
-func (d *deployment) lasting(id string, s step) error {
+func (d *deployment) lasting(id string, s step) error { return d.lastingIn("bulk", id, s) }
+
+// lastingIn is like lasting in a queue.
+func (d *deployment) lastingIn(queue, id string, s step) error {
 	s.LongRunning = true
-	if err := d.submit("bulk", id, s); err != nil {
+	if err := d.submit(queue, id, s); err != nil {
 		return err
 	}
 	if _, ok := d.awaitRunning(id, s.Count, 10*time.Second); !ok {
@@ -321,3 +335,182 @@
 	d.rec.write("room", "units that fit", d.freeSlots(need))
 	return d.watchLasting(unit, need, disturbedUntil, 40*time.Second), nil
 }
+
+// advisedApart lets a worker leave on which one of several work units runs that last,
+// are advised and must run on different workers.
+func advisedApart(d *deployment, trouble bool) (string, error) {
+	const (
+		job     = "00000000000000d1"
+		units   = 6
+		perRack = 6
+	)
+	need := room{1000, 2000, 1}
+	// CONTROL=1 shows that the unit runs again in a queue that is not advised.
+	advised := os.Getenv("CONTROL") == ""
+	if err := d.setUpRacks(2*perRack, perRack, 0, queue{"bulk", 2, false}, queue{"plan", 1, advised}); err != nil {
+		return "", err
+	}
+	if err := d.lastingIn("plan", job, step{room: need, Count: units, Rack: "r1-0", Apart: 1, Advised: advised}); err != nil {
+		return "", err
+	}
+	if err := d.lasting("00000000000000d2", step{room: room{1000, 2000, 4}, Count: perRack, Rack: "r1-1", Apart: 1}); err != nil {
+		return "", err
+	}
+	// The tickets of the first start expire.
+	time.Sleep(adviceValidity + time.Second)
+	disturbedUntil := time.Now()
+	if trouble {
+		w := d.workerOf(job)
+		if w == nil {
+			return "", fmt.Errorf("the job is on no worker")
+		}
+		w.drain()
+		disturbedUntil = time.Now()
+	}
+	d.rec.write("room", "units that fit on workers without one", d.slotsApart(job, need))
+	return d.watchUnits(job, units, need, disturbedUntil, 40*time.Second), nil
+}
+
+// slotsApart returns the number of workers that run no work unit of a job and have
+// room for one.
+func (d *deployment) slotsApart(job string, need room) int {
+	d.world.mu.Lock()
+	defer d.world.mu.Unlock()
+	n := 0
+	for _, w := range d.world.workers {
+		used, hosts := need, false
+		for task, r := range w.running {
+			used = used.plus(r.step.room)
+			hosts = hosts || strings.HasPrefix(task, job+".")
+		}
+		if !w.down && w.state == "ready" && !hosts && used.fitsInto(w.capacity) {
+			n++
+		}
+	}
+	return n
+}
+
+// watchUnits watches a job whose work units last and run on different workers, and
+// returns how rule LOST was broken for one of them, or "". The disruption ends at the
+// given time.
+func (d *deployment) watchUnits(job string, units int, need room, disturbedUntil time.Time, span time.Duration) string {
+	last, without, worst, away := time.Now(), time.Time{}, time.Duration(0), time.Duration(0)
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		now := time.Now()
+		if d.running(job) >= units {
+			last, without = now, time.Time{}
+			continue
+		}
+		away = max(away, now.Sub(last))
+		if now.Sub(last) < again || now.Sub(disturbedUntil) < calm || d.slotsApart(job, need) < 2 {
+			without = time.Time{}
+			continue
+		}
+		if without.IsZero() {
+			without = now
+		}
+		worst = max(worst, now.Sub(without))
+	}
+	d.rec.write("watched", "job", job, "away", away.Round(time.Millisecond), "counted", worst.Round(time.Millisecond))
+	if worst < idle {
+		return ""
+	}
+	return fmt.Sprintf("LOST: a work unit that lasts had nothing running for %v at a time that counts, with room for it on %d workers; it was away for %v",
+		worst.Round(time.Millisecond), d.slotsApart(job, need), away.Round(time.Millisecond))
+}
+
+// pendingWrong freezes the planner's machine as the answer to the transaction that
+// stores a job is on its way, while urgent jobs come.
+func pendingWrong(d *deployment, trouble bool) (string, error) {
+	const (
+		job     = "00000000000000a1"
+		frozen  = 4 * time.Second
+		visible = 3 * time.Second
+	)
+	all := room{8000, 16000, 8}
+	if err := d.setUp(2, 0, queue{"bulk", 2, false}, queue{"plan", 2, false}, queue{"quick", 1, false}); err != nil {
+		return "", err
+	}
+	if err := d.lasting("00000000000000d1", step{room: all, Count: 1}); err != nil {
+		return "", err
+	}
+	time.Sleep(4 * time.Second)
+	leader := d.leader()
+	if leader == nil {
+		return "", fmt.Errorf("no planner")
+	}
+	if trouble {
+		d.freezeAtJob(leader, job, frozen)
+	}
+	// A burst of urgent jobs, at all other machines in turn.
+	var others []*instance
+	for _, x := range d.instances {
+		if x != leader {
+			others = append(others, x)
+		}
+	}
+	var burst sync.WaitGroup
+	for i := range 10 {
+		burst.Go(func() {
+			time.Sleep(900*time.Millisecond + time.Duration(i)*170*time.Millisecond)
+			_ = d.submitAt(others[i%len(others)], "quick", fmt.Sprintf("00000000000000c%x", i), step{room: all, Count: 1, Estimate: 25000, Work: 25 * time.Second})
+		})
+	}
+	if err := d.submit("plan", job, step{room: all, Count: 1, Estimate: 8000, Work: 8 * time.Second}); err != nil {
+		return "", err
+	}
+	confirmed := time.Now()
+	burst.Wait()
+	time.Sleep(time.Until(confirmed.Add(visible + 2*time.Second)))
+	asked, wrong := 0, 0
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		for _, x := range d.instances {
+			if x == leader && trouble {
+				continue
+			}
+			status, answer := d.call(x, http.MethodGet, "/plan/", nil)
+			d.world.mu.Lock()
+			begun := d.world.begun[job]
+			d.world.mu.Unlock()
+			if begun > 0 {
+				d.rec.write("job has begun", "job", job)
+				return "", nil
+			}
+			if status != http.StatusOK {
+				continue
+			}
+			asked++
+			if strings.Contains(answer, `"pending":0`) {
+				wrong++
+			}
+		}
+	}
+	d.rec.write("asked", "answers", asked, "wrong", wrong)
+	if wrong == 0 {
+		return "", nil
+	}
+	return fmt.Sprintf("MIXED: %d of %d answers of machines in touch give 0 jobs as pending, and the one job of the queue has not begun", wrong, asked), nil
+}
+
+// freezeAtJob freezes an instance for a time, once, as the answer to the transaction
+// that stores a job is on its way.
+func (d *deployment) freezeAtJob(x *instance, job string, span time.Duration) {
+	once := sync.Once{}
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	d.store.onApply = func(writes []row) {
+		for _, r := range writes {
+			if r.Table != "job" || r.Key != job {
+				continue
+			}
+			once.Do(func() {
+				d.rec.write("freeze", "instance", x.name)
+				_ = x.process.Process.Signal(syscall.SIGSTOP)
+				time.AfterFunc(span, func() {
+					d.rec.write("wake", "instance", x.name)
+					_ = x.process.Process.Signal(syscall.SIGCONT)
+				})
+			})
+		}
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -273,13 +274,19 @@
 
 // submit hands a job in until it is accepted, as a requester does, at most five times.
 func (d *deployment) submit(queue, id string, steps ...step) error {
+	return d.submitAt(d.instances[0], queue, id, steps...)
+}
+
+// submitAt is like submit with the instance that is asked first.
+func (d *deployment) submitAt(first *instance, queue, id string, steps ...step) error {
 	d.world.mu.Lock()
 	for i := range steps {
 		d.world.jobs[id] = append(d.world.jobs[id], &steps[i])
 	}
 	d.world.mu.Unlock()
 	for i := range 5 {
-		status, _ := d.call(d.instances[i%len(d.instances)], http.MethodPost, "/"+queue+"/"+id, map[string]any{"specification": "work " + id, "steps": steps})
+		next := d.instances[(slices.Index(d.instances, first)+i)%len(d.instances)]
+		status, _ := d.call(next, http.MethodPost, "/"+queue+"/"+id, map[string]any{"specification": "work " + id, "steps": steps})
 		if status/100 == 2 {
 			return nil
 		}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -33,6 +33,9 @@
 	rows    map[rowKey]row
 	history []row
 	changed chan struct{}
+	// onApply is called with the rows of a transaction that has been applied, before
+	// it is answered.
+	onApply func(writes []row)
 }
 
 func newStore() *store {
@@ -121,6 +124,9 @@
 		s.apply(x)
 	}
 	s.notify()
+	if s.onApply != nil {
+		s.onApply(body.Writes)
+	}
 	respond(w, http.StatusOK, s.head())
 }
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -38,6 +38,7 @@
 	Gang        bool          `json:"gang,omitempty"`
 	LongRunning bool          `json:"long_running,omitempty"`
 	Rack        string        `json:"data_rack,omitempty"`
+	Apart       int           `json:"anti_affinity,omitempty"`
 	Work        time.Duration `json:"-"`
 	// Advised is set if starts need a ticket.
 	Advised bool `json:"-"`
@@ -64,8 +65,8 @@
 	jobs    map[string][]*step
 	workers []*worker
 	tickets map[string]ticket
-	// done counts the runs that ended done, by job.
-	done map[string]int
+	// done counts the runs that ended done, begun those that began, by job.
+	done, begun map[string]int
 	// rejected counts the starts that were rejected.
 	rejected int
 	ended    chan struct{}
@@ -78,7 +79,7 @@
 }
 
 func newWorld(rec *record, s *store) *world {
-	return &world{rec: rec, store: s, jobs: map[string][]*step{}, tickets: map[string]ticket{}, done: map[string]int{}, ended: make(chan struct{})}
+	return &world{rec: rec, store: s, jobs: map[string][]*step{}, tickets: map[string]ticket{}, done: map[string]int{}, begun: map[string]int{}, ended: make(chan struct{})}
 }
 
 // worker is one life of a worker.
@@ -349,6 +350,7 @@
 		x.working = now
 	}
 	w.running[c.Task] = x
+	w.world.begun[job]++
 	return ""
 }
 
