review: case 1, an advised work unit that lasts is never started again

Case: six advised work units that last run apart (anti_affinity 1) on six of twelve workers, and one of these leaves. The planner asks the adviser about the four workers with the most room, which run the other units, and counts their room without MaxPerWorker, so that it asks about no other worker.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -134,7 +134,9 @@
 
 // queueRemoved removes the route of an advised queue while an accepted job waits.
 func queueRemoved(d *deployment, trouble bool) (string, error) {
-	bulk, plan := queue{"bulk", 2, false}, queue{"plan", 2, true}
+	// CONTROL=1 shows that a job of a queue that is not advised goes on.
+	advised := os.Getenv("CONTROL") == ""
+	bulk, plan := queue{"bulk", 2, false}, queue{"plan", 2, advised}
 	if err := d.setUp(2, 0, bulk, plan); err != nil {
 		return "", err
 	}
@@ -147,7 +149,7 @@
 			return "", fmt.Errorf("the bulk job did not start")
 		}
 	}
-	if err := d.submit("plan", "00000000000000a1", step{room: room{4000, 8000, 1}, Count: 1, Estimate: 1000, Work: time.Second, Advised: true}); err != nil {
+	if err := d.submit("plan", "00000000000000a1", step{room: room{4000, 8000, 1}, Count: 1, Estimate: 1000, Work: time.Second, Advised: advised}); err != nil {
 		return "", err
 	}
 	if trouble {
@@ -350,7 +352,7 @@
 	if err := d.setUpRacks(2*perRack, perRack, 0, queue{"bulk", 2, false}, queue{"plan", 1, advised}); err != nil {
 		return "", err
 	}
-	if err := d.lastingIn("plan", job, step{room: need, Count: units, Rack: "r1-0", Apart: 1, Advised: advised}); err != nil {
+	if err := d.lastingIn("plan", job, step{room: need, Count: units, Apart: 1, Advised: advised}); err != nil {
 		return "", err
 	}
 	if err := d.lasting("00000000000000d2", step{room: room{1000, 2000, 4}, Count: perRack, Rack: "r1-1", Apart: 1}); err != nil {
