--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts into target/.
 set -e
 cd "$(dirname "$0")/standin"
-GOWORK=off GOFLAGS=-mod=readonly go build -o ../../target/review-standin .
+GOWORK=off GOFLAGS=-mod=readonly go build -buildvcs=false -o ../../target/review-standin .
