--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -20,6 +20,7 @@
 	"gang-blocked":    gangBlocked,
 	"advised-apart":   advisedApart,
 	"pending-wrong":   pendingWrong,
+	"lasting-reclaim": lastingReclaim,
 }
 
 // whole is the capacity of a worker of the site.
@@ -132,6 +133,45 @@
 	return fmt.Sprintf("RECLAIM: a guaranteed job had begun nothing %v after its confirmation", reclaim+took), nil
 }
 
+// lastingReclaim fills all workers with work units that last, of which few may be
+// unavailable at a time, and then asks for the guaranteed accelerators.
+func lastingReclaim(d *deployment, trouble bool) (string, error) {
+	const (
+		reclaim = 3400 * time.Millisecond
+		job     = "00000000000000c1"
+		units   = 8
+	)
+	if err := d.setUp(4, 8, queue{"bulk", 2, false}, queue{"quick", 0, false}); err != nil {
+		return "", err
+	}
+	away := 1
+	if os.Getenv("CONTROL") != "" {
+		// Without the limit the guarantee holds.
+		away = 0
+	}
+	fillers := 4
+	if !trouble {
+		fillers = 2
+	}
+	for i := range fillers {
+		if err := d.lasting(fmt.Sprintf("00000000000000b%x", i), step{room: room{1000, 2000, 1}, Count: units, MaxAway: away}); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	if err := d.submit("quick", job, step{room: room{8000, 16000, 8}, Count: 1, Estimate: 2500, Work: 2500 * time.Millisecond}); err != nil {
+		return "", err
+	}
+	if _, ok := d.awaitRunning(job, 1, reclaim); ok {
+		return "", nil
+	}
+	took, ok := d.awaitRunning(job, 1, 40*time.Second)
+	if ok {
+		return fmt.Sprintf("RECLAIM: a guaranteed job began only %v after its confirmation", reclaim+took), nil
+	}
+	return fmt.Sprintf("RECLAIM: a guaranteed job had begun nothing %v after its confirmation", reclaim+took), nil
+}
+
 // queueRemoved removes the route of an advised queue while an accepted job waits.
 func queueRemoved(d *deployment, trouble bool) (string, error) {
 	// CONTROL=1 shows that a job of a queue that is not advised goes on.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -39,6 +39,7 @@
 	LongRunning bool          `json:"long_running,omitempty"`
 	Rack        string        `json:"data_rack,omitempty"`
 	Apart       int           `json:"anti_affinity,omitempty"`
+	MaxAway     int           `json:"max_unavailable,omitempty"`
 	Work        time.Duration `json:"-"`
 	// Advised is set if starts need a ticket.
 	Advised bool `json:"-"`
