review: a script waits for the end of the processes that it started

Cause: the stand-in ended right after it had sent SIGKILL, so that processes of the program were still listed for a moment. Change: it waits for each.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -258,6 +258,15 @@
 			_ = x.process.Process.Kill()
 		}
 	}
+	for _, x := range d.instances {
+		if x.exited == nil {
+			continue
+		}
+		select {
+		case <-x.exited:
+		case <-time.After(time.Second):
+		}
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.folder)
 	} else {
