--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -60,8 +60,11 @@
 	Gang     bool
 	Adjacent bool
 	Label    string
-	// Allowed restricts the tasks to these workers, by ID, if it is not nil.
-	Allowed map[string]bool
+	// Allowed restricts the tasks to the workers that the adviser has approved, by ID,
+	// if it is not nil. Rejected are those that it has rejected.
+	Allowed, Rejected map[string]bool
+	// AdvicePending is set while the adviser is asked about more workers.
+	AdvicePending bool
 	// Rack is the rack that holds the input data, or empty.
 	Rack string
 	// MaxPerWorker limits the step's tasks on one worker; 0 means no limit.
@@ -179,6 +182,8 @@
 	// StopCauses has an entry for each stop.
 	StopCauses   []StopCause
 	Reservations []Reservation
+	// Advice requests tickets for groups that are restricted to approved workers.
+	Advice []AdviceRequest
 	// Separations lists groups that their slowdown placed elsewhere, for at most
 	// maxSeparationChecks of the groups that start.
 	Separations []Separation
@@ -305,13 +310,14 @@
 	slots, waiting := d.chooseWorkers(position)
 	if slots == nil {
 		switch {
-		case waiting, g.Guaranteed && d.waitsForTrust(g, d.accepting):
+		case waiting, g.Guaranteed && d.waitsForTrust(g, d.accepting), d.waitsForAdvice(g, d.accepting):
 		case g.Guaranteed:
 			d.reclaim(position)
 		case g.Gang && d.blockedReservations < maxBlockedReservations && g.tier(d.view.Now) != tierExpired:
 			d.blockedReservations++
-			d.reserveForBlocked(g)
+			d.reserveForBlocked(g.approved())
 		}
+		d.requestAdvice(position, nil)
 		return
 	}
 	d.recordSeparation(position, slots)
@@ -323,6 +329,7 @@
 		d.countStart(w)
 		d.result.Starts = append(d.result.Starts, Start{Group: position, Index: g.Indexes[i], Worker: w})
 	}
+	d.requestAdvice(position, slots)
 }
 
 // chooseWorkers returns the workers on which the tasks of a group start, or
@@ -350,7 +357,7 @@
 		need[w] = need[w].Plus(g.Need)
 	}
 	for w, n := range need {
-		if !d.view.Workers[w].AcceptsTasks || !n.Fits(d.free[w]) || d.trustedSlots(g, w) < reservedTasks(g, w) {
+		if worker := &d.view.Workers[w]; !worker.AcceptsTasks || !g.accepts(worker) || !n.Fits(d.free[w]) || d.trustedSlots(g, w) < reservedTasks(g, w) {
 			return false
 		}
 	}
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -47,7 +47,7 @@
 		if p := d.plan(g, d.accepting, victimsEnding); p != nil {
 			d.applyPlan(position, p, StopForGuarantee)
 		} else {
-			d.reserveForBlocked(g)
+			d.reserveForBlocked(g.approved())
 		}
 		return
 	}
@@ -56,19 +56,23 @@
 		d.ignoresStopping = true
 		defer func() { d.ignoresStopping = false }()
 	}
-	planned, reason := g.afterWait(), StopForGuarantee
-	best := d.plan(planned, d.accepting, victimsBorrowed)
-	if best == nil && g.NeverStarted {
-		// Running guaranteed work is fragmented so that the group fits nowhere,
-		// so some of it is preempted too. Only a job that has never started may
-		// do that, so that two jobs cannot preempt each other in turn.
-		best, reason = d.plan(planned, d.accepting, victimsAny), StopForFragmentation
-	}
-	if best != nil {
+	if best, reason := d.guaranteePlan(g); best != nil {
 		d.applyPlan(position, best, reason)
 	}
 }
 
+// guaranteePlan returns the plan that makes room for a guaranteed group, or nil.
+func (d *decider) guaranteePlan(g *Group) (*plan, StopReason) {
+	planned := g.afterWait()
+	if best := d.plan(planned, d.accepting, victimsBorrowed); best != nil || !g.NeverStarted {
+		return best, StopForGuarantee
+	}
+	// Running guaranteed work is fragmented so that the group fits nowhere, so some
+	// of it is preempted too. Only a job that has never started may do that, so that
+	// two jobs cannot preempt each other in turn.
+	return d.plan(planned, d.accepting, victimsAny), StopForFragmentation
+}
+
 // applyPlan stops the victims of a plan, unless they end soon, and reserves its
 // slots for the group.
 func (d *decider) applyPlan(position int, p *plan, reason StopReason) {
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -57,12 +57,14 @@
 }
 
 // fitsWhenEmpty reports whether the group would fit on the workers if they were
-// idle and trusted: limits of trust are temporary, like other runs. Of a group that
+// idle, trusted and approved: all this is temporary, like other runs. Of a group that
 // is not a gang one task is enough.
 func (d *decider) fitsWhenEmpty(g *Group, workers []int) bool {
 	n := 0
 	for _, i := range workers {
-		n += d.resourceSlots(g, i, d.view.Workers[i].Capacity)
+		if g.isEligible(&d.view.Workers[i]) {
+			n += d.resourceSlots(g, i, d.view.Workers[i].Capacity)
+		}
 	}
 	return n >= len(g.Indexes) || !g.Gang && n > 0
 }
@@ -78,22 +80,22 @@
 
 // accepts reports whether the worker is eligible to run the tasks of the group.
 func (g *Group) accepts(w *Worker) bool {
-	return w.Service == g.Service && w.hasLabel(g.Label) && (g.Allowed == nil || g.Allowed[w.ID])
+	return g.isEligible(w) && (g.Allowed == nil || g.Allowed[w.ID])
 }
 
 // slots returns how many tasks of the group fit into the free resources of a
 // worker and are allowed by the trust in it.
 func (d *decider) slots(g *Group, worker int, free batch.Resources) int {
+	if !g.accepts(&d.view.Workers[worker]) {
+		return 0
+	}
 	return min(d.resourceSlots(g, worker, free), d.trustedSlots(g, worker))
 }
 
 // resourceSlots returns how many tasks of the group fit into the free resources of
-// a worker.
+// an eligible worker.
 func (d *decider) resourceSlots(g *Group, worker int, free batch.Resources) int {
 	w := &d.view.Workers[worker]
-	if !g.accepts(w) {
-		return 0
-	}
 	n := len(g.Indexes)
 	if g.MaxPerWorker > 0 {
 		n = min(n, g.MaxPerWorker-g.RunningPerWorker[w.ID])
--- a/scheduler/assignment/urgency.go
+++ b/scheduler/assignment/urgency.go
@@ -22,37 +22,63 @@
 // worker.
 func (d *decider) placeUrgent(position int) (slots []int, waiting bool) {
 	g := &d.view.Groups[position]
-	fast := d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, 0) })
+	fast := d.meetingObjective(g)
 	if !d.fitsCompactWhenEmpty(g, fast) {
 		return nil, false
 	}
-	certain, differs := d.certainlyFast(g, 0)
-	if differs && d.fitsCompactWhenEmpty(g, certain) {
-		if slots := d.findWorkers(g, certain); slots != nil {
-			return slots, false
-		}
-	}
-	if slots := d.findWorkers(g, fast); slots != nil {
+	if slots := d.findFast(g, fast); slots != nil {
 		return slots, false
 	}
 	if g.ReservedWorkers != nil {
 		d.reserveSlots(g, g.ReservedWorkers)
 		return nil, true
 	}
-	if d.view.Now.Sub(g.ReadySince) >= preemptionWindow {
+	if !d.mayPreemptForObjective(g) {
 		return nil, false
 	}
-	if d.waitsForTrust(g, fast) {
+	if d.waitsForTrust(g, fast) || d.waitsForAdvice(g, fast) {
 		return nil, true
 	}
-	p := d.planOnFast(g.afterWait(), d.view.Stopping.delay(), g.expectedWork())
-	if p == nil || p.loss > g.expectedWork() {
+	p := d.objectivePlan(g)
+	if p == nil {
 		return nil, false
 	}
 	d.applyPlan(position, p, StopForObjective)
 	return nil, true
 }
 
+// meetingObjective returns the workers on which the group meets its objective.
+func (d *decider) meetingObjective(g *Group) pool {
+	return d.pool(func(w *Worker) bool { return d.meetsObjective(g, w, 0) })
+}
+
+// findFast returns workers of the pool of those that meet the objective, as
+// findWorkers does, those that certainly meet it first.
+func (d *decider) findFast(g *Group, fast pool) []int {
+	if certain, differs := d.certainlyFast(g, 0); differs && d.fitsCompactWhenEmpty(g, certain) {
+		if slots := d.findWorkers(g, certain); slots != nil {
+			return slots
+		}
+	}
+	return d.findWorkers(g, fast)
+}
+
+// mayPreemptForObjective reports whether runs may still be stopped for the
+// objective of the group.
+func (d *decider) mayPreemptForObjective(g *Group) bool {
+	return d.view.Now.Sub(g.ReadySince) < preemptionWindow
+}
+
+// objectivePlan returns a plan by which the group meets its objective and that loses
+// no more work than the group has itself, or nil.
+func (d *decider) objectivePlan(g *Group) *plan {
+	p := d.planOnFast(g.afterWait(), d.view.Stopping.delay(), g.expectedWork())
+	if p == nil || p.loss > g.expectedWork() {
+		return nil
+	}
+	return p
+}
+
 // fitsCompactWhenEmpty reports whether the group would fit on its preferred
 // workers, as in compactPlan, if the pool were idle.
 func (d *decider) fitsCompactWhenEmpty(g *Group, in pool) bool {
--- a/scheduler/control/advice.go
+++ b/scheduler/control/advice.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"daisylug.example/scheduler/assignment"
@@ -11,14 +9,6 @@
 )
 
 const (
-	// minAdviceWorkers and maxAdviceWorkers bound the number of workers in one
-	// call: each takes the adviser time, and the users expect at most 30 per
-	// step.
-	minAdviceWorkers = 4
-	maxAdviceWorkers = 30
-	// adviceWorkersPerTask is how many workers are asked about for each waiting
-	// task, because some are rejected.
-	adviceWorkersPerTask = 2
 	// ticketMargin is the part of a ticket's validity that is reserved for
 	// delivering the start request.
 	ticketMargin = 700 * time.Millisecond
@@ -75,8 +65,7 @@
 	return j.queue.Advised
 }
 
-// applyAdvice limits a group to the workers with valid tickets and requests
-// advice on more workers if their capacity is too small.
+// applyAdvice limits a group to the workers with valid tickets.
 func (p *Planner) applyAdvice(j *job, g *assignment.Group, now time.Time) {
 	ref := stepRef{g.Occurrence, g.Step}
 	a := j.advice[ref]
@@ -84,70 +73,42 @@
 		a = &advice{verdicts: map[workerIncarnation]bool{}, tickets: map[string]adviserTicket{}}
 		j.advice[ref] = a
 	}
-	g.Allowed = map[string]bool{}
-	slots := 0
+	g.AdvicePending = a.pending
+	g.Allowed, g.Rejected = map[string]bool{}, map[string]bool{}
 	for id, t := range a.tickets {
-		w := p.workers[id]
-		if w == nil || !p.available(w, now) || w.incarnation != t.incarnation || now.Add(ticketMargin).After(t.expiresAt) {
-			continue
+		if w := p.workers[id]; w != nil && w.incarnation == t.incarnation && !now.Add(ticketMargin).After(t.expiresAt) {
+			g.Allowed[id] = true
 		}
-		g.Allowed[id] = true
-		slots += min(countFitting(g.Need, w), g.TrustedTasks(p.workerTrust(w, now), now))
-	}
-	if a.pending || slots >= len(g.Indexes) {
-		return
 	}
-	candidates := p.adviceCandidates(a, g, now)
-	if len(candidates) == 0 {
-		return
-	}
-	request := adviceRequest{j, batch.TaskID{Job: j.spec.ID, Occurrence: g.Occurrence, Step: g.Step}, candidates}
-	select {
-	case p.adviceRequests <- request:
-		a.pending = true
-	default:
-		// The queue is full; the next decision tries again.
-	}
-}
-
-// countFitting returns how many tasks fit into the free resources of a worker,
-// at most maxAdviceWorkers.
-func countFitting(need batch.Resources, w *worker) int {
-	n := 0
-	for available := w.info.Capacity.Minus(w.used); need.Fits(available) && n < maxAdviceWorkers; n++ {
-		available = available.Minus(need)
+	for asked, approved := range a.verdicts {
+		if w := p.workers[asked.worker]; !approved && w != nil && w.incarnation == asked.incarnation {
+			g.Rejected[asked.worker] = true
+		}
 	}
-	return n
 }
 
-// adviceCandidates returns workers with free capacity that the adviser is not
-// known to have rejected, those with the most capacity that may be used now first.
-func (p *Planner) adviceCandidates(a *advice, g *assignment.Group, now time.Time) []workerIncarnation {
-	type candidate struct {
-		worker *worker
-		// trusted are the slots that may be used now.
-		trusted, slots int
-	}
-	var found []candidate
-	for id, w := range p.workers {
-		approved, known := a.verdicts[workerIncarnation{id, w.incarnation}]
-		if !p.available(w, now) || w.info.Service != g.Service || g.Allowed[id] || known && !approved ||
-			g.Label != "" && !slices.Contains(w.info.Labels, g.Label) {
+// queueAdvice queues the requests of a decision for the adviser, one for each
+// step.
+func (p *Planner) queueAdvice(v *decisionView, requests []assignment.AdviceRequest) {
+	for _, r := range requests {
+		g, j := &v.input.Groups[r.Group], v.jobs[r.Group]
+		a := j.advice[stepRef{g.Occurrence, g.Step}]
+		if a.pending {
 			continue
 		}
-		if n := countFitting(g.Need, w); n > 0 {
-			found = append(found, candidate{w, min(n, g.TrustedTasks(p.workerTrust(w, now), now)), n})
+		request := adviceRequest{job: j, step: batch.TaskID{Job: j.spec.ID, Occurrence: g.Occurrence, Step: g.Step}}
+		for _, i := range r.Workers {
+			w := v.workers[i]
+			request.workers = append(request.workers, workerIncarnation{w.info.ID, w.incarnation})
+		}
+		select {
+		case p.adviceRequests <- request:
+			a.pending = true
+		default:
+			// The queue is full; the next decision tries again.
+			return
 		}
 	}
-	slices.SortFunc(found, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(y.trusted, x.trusted), cmp.Compare(y.slots, x.slots), cmp.Compare(x.worker.info.ID, y.worker.info.ID))
-	})
-	limit := min(max(adviceWorkersPerTask*len(g.Indexes), minAdviceWorkers), maxAdviceWorkers, len(found))
-	selected := make([]workerIncarnation, 0, limit)
-	for _, c := range found[:limit] {
-		selected = append(selected, workerIncarnation{c.worker.info.ID, c.worker.incarnation})
-	}
-	return selected
 }
 
 // processAdviceRequests calls the adviser, one call at a time, until ctx ends.
--- a/scheduler/control/advice_test.go
+++ b/scheduler/control/advice_test.go
@@ -88,9 +88,9 @@
 				f.submit(p, batchJob("j", c.queue, "a", "500ms", c.step))
 				time.Sleep(10 * time.Second)
 				f.expectState(p, c.queue, "j", batch.JobDone)
-				if refused > 0 || a.calls > c.maxCalls || a.maxWorkers > maxAdviceWorkers {
+				if refused > 0 || a.calls > c.maxCalls || a.maxWorkers > assignment.MaxAdviceWorkers {
 					t.Errorf("%d starts refused, %d calls for up to %d workers; want 0, at most %d and %d",
-						refused, a.calls, a.maxWorkers, c.maxCalls, maxAdviceWorkers)
+						refused, a.calls, a.maxWorkers, c.maxCalls, assignment.MaxAdviceWorkers)
 				}
 				// The tickets have expired and are requested again.
 				f.submit(p, batchJob("k", c.queue, "a", "500ms", c.step))
@@ -130,6 +130,15 @@
 	}}}
 	g := assignment.Group{Job: "j", Service: "s", Indexes: []int{0, 1, 2, 3}, Need: batch.Resources{Accelerators: 1}, Priority: 1, Trial: true}
 	p.applyAdvice(j, &g, now)
+	v := &decisionView{input: assignment.View{Now: now, Groups: []assignment.Group{g}}, jobs: []*job{j}}
+	for _, w := range []*worker{onTrial, free, spared} {
+		v.workers = append(v.workers, w)
+		v.input.Workers = append(v.input.Workers, assignment.Worker{
+			ID: w.info.ID, Service: w.info.Service, Capacity: w.info.Capacity, Free: w.info.Capacity, Speed: 1, SpeedKnown: true,
+			AcceptsTasks: w.schedulable(now), Trust: p.workerTrust(w, now),
+		})
+	}
+	p.queueAdvice(v, assignment.Decide(v.input).Advice)
 	if len(p.adviceRequests) != 1 {
 		t.Fatal("no advice requested")
 	}
--- /dev/null
+++ b/scheduler/control/adviceplacing_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+)
+
+// lenientAdviser approves all workers for a limited time.
+type lenientAdviser struct{ validity time.Duration }
+
+func (a lenientAdviser) Advise(_ context.Context, _ batch.TaskID, workers []string) (platform.Advice, error) {
+	time.Sleep(20*time.Millisecond + 5*time.Millisecond*time.Duration(len(workers)))
+	answer := platform.Advice{Tickets: map[string]string{}, Validity: a.validity}
+	for _, w := range workers {
+		answer.Tickets[w] = "ticket " + w
+	}
+	return answer, nil
+}
+
+// countRunning counts the runs of a job on all workers.
+func (f *testCluster) countRunning(id string) int {
+	n := 0
+	for _, r := range f.runners {
+		for _, s := range r.Running() {
+			if s.Task.Job == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// newAdvisedCluster returns a cluster with an adviser and the queues "advised" and
+// "advisedurgent", whose workers reject starts without a ticket. It counts these
+// in refused.
+func newAdvisedCluster(t *testing.T, workers int) (f *testCluster, refused *atomic.Int64) {
+	f = newTestCluster(t, workers)
+	for queue, priority := range map[string]int{"advised": 1, "advisedurgent": 0} {
+		f.config.Queues[queue] = Queue{
+			Name: queue, Service: "s", Priority: priority, MaxAttempts: 3, Stretch: 3, Target: time.Second, Advised: true,
+		}
+	}
+	f.adviser, refused = lenientAdviser{validity: 3 * time.Second}, new(atomic.Int64)
+	f.wrapRunner = func(r platform.Runner) platform.Runner {
+		return &advisedRunner{r, r.(interface{ Info() platform.RunnerInfo }).Info().ID, f, refused}
+	}
+	return f, refused
+}
+
+// advisedRunner is a worker that requires a ticket for the jobs of advised queues,
+// whose IDs start with "a".
+type advisedRunner struct {
+	platform.Runner
+	id      string
+	cluster *testCluster
+	refused *atomic.Int64
+}
+
+func (r *advisedRunner) Start(ctx context.Context, request platform.StartRequest) (time.Duration, error) {
+	if request.Task.Job[0] == 'a' && request.Ticket != "ticket "+r.id {
+		r.refused.Add(1)
+		return 0, &platform.TicketError{}
+	}
+	return r.Runner.Start(ctx, request)
+}
+
+// TestAdvisedTaskBesideItsStep guards against an advised task that is never started
+// again because the adviser is only asked about the workers of its step's other
+// tasks, which may not share a worker with it.
+func TestAdvisedTaskBesideItsStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, refused := newAdvisedCluster(t, 16)
+		p, stop := f.startPlanner()
+		defer stop()
+		time.Sleep(settleTime)
+		apart := batch.Step{Tasks: 6, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 2000, Accelerators: 1}, LongRunning: true, MaxPerWorker: 1}
+		f.submit(p, batchJob("a", "advised", "a", "lasting", apart))
+		time.Sleep(time.Second)
+		// The workers of the job have more room than the others.
+		for id, fill := range map[string]batch.Step{
+			"b": {Tasks: 2, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 2000, Accelerators: 8}, LongRunning: true, Rack: "r0"},
+			"c": {Tasks: 8, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 2000, Accelerators: 4}, LongRunning: true, Rack: "r1", MaxPerWorker: 1},
+		} {
+			f.submit(p, batchJob(id, "later", "a", "lasting", fill))
+		}
+		time.Sleep(5 * time.Second)
+		r := f.runnerOf("a")
+		f.announceLeaving(r)
+		time.Sleep(time.Second)
+		f.unlist(r)
+		r.Restart()
+		time.Sleep(12 * time.Second)
+		if n := f.countRunning("a"); n != 6 || refused.Load() > 0 {
+			t.Errorf("%d tasks run, %d starts without a ticket; want 6 and 0", n, refused.Load())
+		}
+	})
+}
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -72,6 +72,7 @@
 		g := &v.input.Groups[r.Group]
 		v.jobs[r.Group].reservations[stepRef{g.Occurrence, g.Step}] = s
 	}
+	p.queueAdvice(v, d.Advice)
 	p.applyStarts(v, d.Starts)
 	p.logStarts(v, d.Starts)
 	p.logSeparations(v, d.Separations)
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -88,11 +88,6 @@
 	return p.trust.listed[service] >= p.LargeServiceWorkers
 }
 
-// available reports whether the worker may get new tasks and is not excluded.
-func (p *Planner) available(w *worker, now time.Time) bool {
-	return w.schedulable(now) && !p.workerTrust(w, now).Excluded
-}
-
 // workerTrust returns what may start on a worker.
 func (p *Planner) workerTrust(w *worker, now time.Time) assignment.WorkerTrust {
 	state := w.trust
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -117,16 +117,11 @@
 			for i := range parts {
 				p.applyTrust(j, &parts[i], now)
 			}
-			if p.needsAdvice(j) {
-				// The first part may use the fewest workers.
-				advised := parts[0]
-				advised.Indexes = g.Indexes
-				p.applyAdvice(j, &advised, now)
-				for i := range parts {
-					parts[i].Allowed = advised.Allowed
-				}
-			}
+			advised := p.needsAdvice(j)
 			for _, part := range parts {
+				if advised {
+					p.applyAdvice(j, &part, now)
+				}
 				v.input.Groups = append(v.input.Groups, part)
 				v.jobs = append(v.jobs, j)
 			}
