assignment: advice on workers on which runs would be stopped

Cause: advice was requested only about workers with free room, while runs are stopped for a guarantee, or for an objective, only on workers with tickets.

Evidence: the record of the case has no call to the adviser; with CONTROL=1, where the queue is not advised, the same job starts in time.

Change: for a group that fits nowhere, the decision plans which runs it would stop on approved workers and requests advice on those. Nothing is stopped before the response.

Tests of control and assignment pass.

--- a/scheduler/assignment/advice.go
+++ b/scheduler/assignment/advice.go
@@ -21,8 +21,8 @@
 	maxAdviceRequests = 16
 )
 
-// AdviceRequest names workers on which tasks of a group would start if the adviser
-// approved them.
+// AdviceRequest names workers on which tasks of a group would start, some of them
+// after other runs have been stopped, if the adviser approved them.
 type AdviceRequest struct {
 	// Group and Workers are positions in the view. The most suitable workers are
 	// first.
@@ -125,8 +125,9 @@
 }
 
 // adviceSlots returns the workers on which the tasks of an approved group would
-// start, or nil if it waits for runs to end. They are free, or the trust in them is
-// limited; if advice is pending, only free ones are returned.
+// start, or nil if it waits for runs to end by themselves. They are free, or become
+// so after a stop of runs or a wait for trust in them; if advice is pending, only
+// free ones are returned.
 func (d *decider) adviceSlots(g *Group) (slots []int, isFree bool) {
 	if len(g.ReservedWorkers) == len(g.Indexes) {
 		return g.ReservedWorkers, d.reservationFree(g)
@@ -136,6 +137,11 @@
 			if slots := d.findFast(g, fast); slots != nil {
 				return slots, true
 			}
+			if !g.AdvicePending && d.mayPreemptForObjective(g) && !d.waitsForTrust(g, fast) {
+				if p := d.objectivePlan(g); p != nil {
+					return p.slots, false
+				}
+			}
 		}
 	}
 	if slots := d.findWorkers(g, d.accepting); slots != nil {
@@ -151,5 +157,10 @@
 			return slots, false
 		}
 	}
+	if g.Guaranteed {
+		if p, _ := d.guaranteePlan(g); p != nil {
+			return p.slots, false
+		}
+	}
 	return nil, false
 }
--- a/scheduler/assignment/advice_test.go
+++ b/scheduler/assignment/advice_test.go
@@ -164,6 +164,17 @@
 				return v
 			},
 		},
+		{
+			name: "full workers and a guarantee",
+			view: func() View {
+				g := adviseOn(taskGroup("a", 1, 8))
+				g.Guaranteed = true
+				v := View{Workers: idleRacks(1), Groups: []Group{g}}
+				occupy(&v, span(0, 7)...)
+				return v
+			},
+			asked: []int{0}, others: []int{1, 2, 3},
+		},
 		{
 			name: "a guarantee and a ticket",
 			view: func() View {
@@ -184,7 +195,8 @@
 				occupy(&v, span(0, 6)...)
 				return v
 			},
-			asked: []int{7}},
+			asked: []int{7}, others: []int{0, 1, 2},
+		},
 		{
 			name: "reserved workers whose tickets have expired",
 			view: func() View {
@@ -194,6 +206,15 @@
 			},
 			asked: []int{3}, others: []int{0, 1, 2},
 		},
+		{
+			name: "an objective that needs fast workers",
+			view: func() View {
+				v := View{Workers: mixedSpeedRacks(1), Groups: []Group{adviseOn(urgentGang(2))}}
+				occupyFastWorkers(&v, 1)
+				return v
+			},
+			asked: []int{1, 2}, others: []int{3, 5},
+		},
 		{
 			name: "workers that the group does not trust yet",
 			view: func() View {
--- a/scheduler/control/adviceplacing_test.go
+++ b/scheduler/control/adviceplacing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -101,3 +102,38 @@
 		}
 	})
 }
+
+// TestAdvisedGuaranteeOnFullWorkers guards against a guaranteed job of an advised
+// queue that has nothing stopped for it, because the adviser is not asked about
+// workers that are full.
+func TestAdvisedGuaranteeOnFullWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		step    batch.Step
+		starts  int
+		reclaim time.Duration
+	}{
+		{"one task", batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 8000, MemoryMB: 16000, Accelerators: 8}}, 1, 3400 * time.Millisecond},
+		{"tasks", batch.Step{Tasks: 8, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 2000, Accelerators: 2}}, 8, 3400 * time.Millisecond},
+		{"a gang", gang(4, 8), 4, 3400 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, refused := newAdvisedCluster(t, 8)
+				p, stop := f.startPlanner()
+				defer stop()
+				time.Sleep(settleTime)
+				for i := range 8 {
+					f.submit(p, batchJob(fmt.Sprint("later", i), "later", "b", "lasting",
+						batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 8000, MemoryMB: 16000, Accelerators: 8}, LongRunning: true}))
+				}
+				time.Sleep(4 * time.Second)
+				f.submit(p, batchJob("a", "advisedurgent", "a", "20s", c.step))
+				time.Sleep(c.reclaim)
+				if n := f.countStarts("a"); n != c.starts || refused.Load() > 0 {
+					t.Errorf("%d tasks started after %v, %d starts without a ticket; want %d and 0", n, c.reclaim, refused.Load(), c.starts)
+				}
+			})
+		})
+	}
+}
