control, assignment: advice in the order of urgency, and beside a reserve

Cause: requests for advice waited in a queue of 256 in the order of arrival. And mayRelaxPlacement counted room on workers with tickets only, so that a group without tickets never got past the reserve to where advice is requested.

Change: at most 2 requests wait, and each decision fills up from its own order of urgency. A step whose call fails waits for 0.3 s to 5 s, so that it does not come first each time; all calls pause only when two in a row have failed. The room that lets a group relax its placement is counted on approved workers and those not asked about yet.

--- a/scheduler/assignment/advice.go
+++ b/scheduler/assignment/advice.go
@@ -18,7 +18,7 @@
 	adviceWorkersPerTask = 2
 	// maxAdviceRequests bounds the requests of a decision, since the adviser handles
 	// one call at a time.
-	maxAdviceRequests = 16
+	maxAdviceRequests = 4
 )
 
 // AdviceRequest names workers on which tasks of a group would start, some of them
--- a/scheduler/assignment/advice_test.go
+++ b/scheduler/assignment/advice_test.go
@@ -215,6 +215,39 @@
 			},
 			asked: []int{1, 2}, others: []int{3, 5},
 		},
+		{
+			name: "half of the room is kept for urgent work",
+			view: func() View {
+				g := adviseOn(taskGroup("a", 1, 8))
+				g.Priority, g.ReadySince = 1, now.Add(-placementTimeout)
+				v := View{Workers: idleRacks(1), Groups: []Group{g}, Reserve: 64}
+				occupy(&v, span(0, 3)...)
+				return v
+			},
+			asked: []int{4}, others: []int{5, 6, 7},
+		},
+		{
+			name: "half of the room is kept for urgent work, with a ticket",
+			view: func() View {
+				g := adviseOn(taskGroup("a", 1, 8), 7)
+				g.Priority, g.ReadySince = 1, now.Add(-placementTimeout)
+				v := View{Workers: idleRacks(1), Groups: []Group{g}, Reserve: 64}
+				occupy(&v, span(0, 3)...)
+				return v
+			},
+			starts: 1,
+		},
+		{
+			name: "a data rack that is full for long",
+			view: func() View {
+				g := adviseOn(taskGroup("a", 1, 8))
+				g.Rack, g.ReadySince = "r1", now.Add(-placementTimeout)
+				v := View{Workers: idleRacks(2), Groups: []Group{g}}
+				occupy(&v, span(8, 15)...)
+				return v
+			},
+			asked: []int{0}, others: []int{1, 2, 3},
+		},
 		{
 			name: "workers that the group does not trust yet",
 			view: func() View {
--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -405,9 +405,9 @@
 
 // mayRelaxPlacement reports whether the tasks should stop waiting for better
 // workers: they have waited for placementTimeout, less than half of the service's
-// capacity is in use, and they fit twice. If no run of the job is in progress and
-// its tasks can start one by one, one task has to fit: any more would be stopped
-// again for the expected urgent work.
+// capacity is in use, and they fit twice, on workers that may be unapproved so far.
+// If no run of the job is in progress and its tasks can start one by one, one task
+// has to fit: any more would be stopped again for the expected urgent work.
 func (d *decider) mayRelaxPlacement(g *Group) bool {
 	if d.view.Now.Sub(g.ReadySince) < placementTimeout {
 		return false
@@ -423,7 +423,7 @@
 		tasks, need = 1, g.Need
 	}
 	half := batch.Resources{MilliCPU: total.MilliCPU / 2, MemoryMB: total.MemoryMB / 2, Accelerators: total.Accelerators / 2}
-	return half.Fits(free) && d.freeSlots(g, d.accepting.workers) >= tasks && need.Times(2).Fits(free)
+	return half.Fits(free) && d.freeSlots(g.approved(), d.accepting.workers) >= tasks && need.Times(2).Fits(free)
 }
 
 // findWorkers returns a worker of the pool for each task of a gang, or for as
--- a/scheduler/control/advice.go
+++ b/scheduler/control/advice.go
@@ -15,11 +15,19 @@
 	// adviceTimeout is the timeout of a call; calls of other instances may be
 	// processed first.
 	adviceTimeout = 10 * time.Second
-	// adviceRetryDelay is the delay after a failed call.
-	adviceRetryDelay = 300 * time.Millisecond
-	// maxAdviceRequests is the capacity of the request queue; the adviser
-	// processes one call at a time per instance.
-	maxAdviceRequests = 256
+	// adviceRetryDelay is the delay after a failed call. For the step of the call it
+	// doubles with each failure, up to maxAdviceRetryDelay.
+	adviceRetryDelay    = 300 * time.Millisecond
+	maxAdviceRetryDelay = 5 * time.Second
+	// maxAdviceBackoffSteps is the number of doublings that reach maxAdviceRetryDelay.
+	maxAdviceBackoffSteps = 5
+	// minAdviserFailures is the number of failed calls in a row that count as a
+	// failure of the adviser.
+	minAdviserFailures = 2
+	// maxAdviceRequests is the capacity of the request queue. The adviser processes
+	// one call at a time per instance, and a decision requests the most urgent
+	// advice first, so that a short queue keeps the order of urgency.
+	maxAdviceRequests = 2
 )
 
 // advice holds the adviser's responses about the workers for one step.
@@ -31,6 +39,10 @@
 	tickets map[string]adviserTicket
 	// pending is set while a request is queued or in progress.
 	pending bool
+	// failures is the number of calls that have failed since the latest response;
+	// after one the next request waits until retryAt.
+	failures int
+	retryAt  time.Time
 }
 
 // workerIncarnation identifies a process of a worker.
@@ -73,7 +85,7 @@
 		a = &advice{verdicts: map[workerIncarnation]bool{}, tickets: map[string]adviserTicket{}}
 		j.advice[ref] = a
 	}
-	g.AdvicePending = a.pending
+	g.AdvicePending = a.pending || now.Before(a.retryAt)
 	g.Allowed, g.Rejected = map[string]bool{}, map[string]bool{}
 	for id, t := range a.tickets {
 		if w := p.workers[id]; w != nil && w.incarnation == t.incarnation && !now.Add(ticketMargin).After(t.expiresAt) {
@@ -111,18 +123,26 @@
 	}
 }
 
-// processAdviceRequests calls the adviser, one call at a time, until ctx ends.
+// processAdviceRequests calls the adviser, one call at a time, until ctx ends. It
+// pauses while the adviser itself seems to fail.
 func (p *Planner) processAdviceRequests(ctx context.Context) error {
+	failures := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case request := <-p.adviceRequests:
-			if !p.requestAdvice(ctx, request) {
-				select {
-				case <-ctx.Done():
-				case <-time.After(adviceRetryDelay):
-				}
+			if p.requestAdvice(ctx, request) {
+				failures = 0
+				continue
+			}
+			if failures++; failures < minAdviserFailures {
+				p.wake()
+				continue
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(adviceRetryDelay):
 			}
 		}
 	}
@@ -150,9 +170,14 @@
 	a := request.job.advice[stepRef{request.step.Occurrence, request.step.Step}]
 	a.pending = false
 	if err != nil {
-		p.Log.Info("adviser call failed", "job", request.step.Job, "step", request.step.Step, "workers", len(names), "error", err)
+		delay := min(adviceRetryDelay<<min(a.failures, maxAdviceBackoffSteps), maxAdviceRetryDelay)
+		a.failures++
+		a.retryAt = time.Now().Add(delay)
+		p.Log.Info("adviser call failed", "job", request.step.Job, "step", request.step.Step, "workers", len(names), "failures", a.failures,
+			"retry", delay, "error", err)
 		return false
 	}
+	a.failures, a.retryAt = 0, time.Time{}
 	for _, w := range request.workers {
 		value, approved := answer.Tickets[w.worker]
 		a.verdicts[w] = approved
--- a/scheduler/control/adviceplacing_test.go
+++ b/scheduler/control/adviceplacing_test.go
@@ -12,11 +12,18 @@
 	"daisylug.example/scheduler/platform"
 )
 
-// lenientAdviser approves all workers for a limited time.
-type lenientAdviser struct{ validity time.Duration }
+// lenientAdviser approves all workers for a limited time. Each call takes delay and
+// 5 ms for each worker; calls about the jobs in failing fail.
+type lenientAdviser struct {
+	delay, validity time.Duration
+	failing         map[string]bool
+}
 
-func (a lenientAdviser) Advise(_ context.Context, _ batch.TaskID, workers []string) (platform.Advice, error) {
-	time.Sleep(20*time.Millisecond + 5*time.Millisecond*time.Duration(len(workers)))
+func (a *lenientAdviser) Advise(_ context.Context, step batch.TaskID, workers []string) (platform.Advice, error) {
+	time.Sleep(a.delay + 5*time.Millisecond*time.Duration(len(workers)))
+	if a.failing[step.Job] {
+		return platform.Advice{}, &platform.UnhealthyError{Status: 503}
+	}
 	answer := platform.Advice{Tickets: map[string]string{}, Validity: a.validity}
 	for _, w := range workers {
 		answer.Tickets[w] = "ticket " + w
@@ -40,18 +47,19 @@
 // newAdvisedCluster returns a cluster with an adviser and the queues "advised" and
 // "advisedurgent", whose workers reject starts without a ticket. It counts these
 // in refused.
-func newAdvisedCluster(t *testing.T, workers int) (f *testCluster, refused *atomic.Int64) {
+func newAdvisedCluster(t *testing.T, workers int) (f *testCluster, a *lenientAdviser, refused *atomic.Int64) {
 	f = newTestCluster(t, workers)
 	for queue, priority := range map[string]int{"advised": 1, "advisedurgent": 0} {
 		f.config.Queues[queue] = Queue{
 			Name: queue, Service: "s", Priority: priority, MaxAttempts: 3, Stretch: 3, Target: time.Second, Advised: true,
 		}
 	}
-	f.adviser, refused = lenientAdviser{validity: 3 * time.Second}, new(atomic.Int64)
+	a, refused = &lenientAdviser{delay: 20 * time.Millisecond, validity: 3 * time.Second}, new(atomic.Int64)
+	f.adviser = a
 	f.wrapRunner = func(r platform.Runner) platform.Runner {
 		return &advisedRunner{r, r.(interface{ Info() platform.RunnerInfo }).Info().ID, f, refused}
 	}
-	return f, refused
+	return f, a, refused
 }
 
 // advisedRunner is a worker that requires a ticket for the jobs of advised queues,
@@ -76,7 +84,7 @@
 // tasks, which may not share a worker with it.
 func TestAdvisedTaskBesideItsStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, refused := newAdvisedCluster(t, 16)
+		f, _, refused := newAdvisedCluster(t, 16)
 		p, stop := f.startPlanner()
 		defer stop()
 		time.Sleep(settleTime)
@@ -119,7 +127,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f, refused := newAdvisedCluster(t, 8)
+				f, _, refused := newAdvisedCluster(t, 8)
 				p, stop := f.startPlanner()
 				defer stop()
 				time.Sleep(settleTime)
@@ -137,3 +145,41 @@
 		})
 	}
 }
+
+// TestAdvisedGuaranteeBehindBacklog guards against a guaranteed job that waits until
+// the adviser has been asked for all less urgent steps, or for steps for which it
+// always fails.
+func TestAdvisedGuaranteeBehindBacklog(t *testing.T) {
+	for _, failing := range []bool{false, true} {
+		t.Run(fmt.Sprintf("failing %v", failing), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, a, refused := newAdvisedCluster(t, 16)
+				a.delay, a.failing = 150*time.Millisecond, map[string]bool{}
+				p, stop := f.startPlanner()
+				defer stop()
+				time.Sleep(settleTime)
+				one := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 2000, Accelerators: 1}}
+				for i := range 60 {
+					id := fmt.Sprintf("a%02d", i)
+					a.failing[id] = failing && i%10 == 0
+					f.submit(p, batchJob(id, "advised", "b", "20s", one))
+				}
+				f.submit(p, batchJob("aurgent", "advisedurgent", "a", "20s", one))
+				const reclaim = 3400 * time.Millisecond
+				time.Sleep(reclaim)
+				if n := f.countStarts("aurgent"); n != 1 || refused.Load() > 0 {
+					t.Errorf("%d tasks started after %v, %d starts without a ticket; want 1 and 0", n, reclaim, refused.Load())
+				}
+				time.Sleep(20 * time.Second)
+				for i := range 60 {
+					if i%10 == 0 {
+						continue
+					}
+					if id := fmt.Sprintf("a%02d", i); f.countStarts(id) == 0 {
+						t.Errorf("job %s has not started", id)
+					}
+				}
+			})
+		})
+	}
+}
