control: a run leaves an evacuated data centre only for a place that it may use

Cause: evacuatedRun compared what the run needs with the free resources of the whole service.

Result: TestEvacuatedRunKeepsItsPlace on the code before: moved in the three cases where it may not be; it passes now. Tests of control and assignment pass.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -195,12 +195,7 @@
 // preempts others.
 func Decide(v View) Decision {
 	v.Running = slices.Clone(v.Running)
-	d := &decider{view: v, free: make([]batch.Resources, len(v.Workers))}
-	for i := range v.Workers {
-		d.free[i] = v.Workers[i].Free
-	}
-	d.indexRacks()
-	d.accepting = d.pool(func(*Worker) bool { return true })
+	d := newDecider(v)
 	d.reserve = d.cappedReserve()
 	d.reserveShapes()
 	order := rank(v)
@@ -210,6 +205,19 @@
 	return d.result
 }
 
+// FitsNow reports whether the group could start now on its preferred workers: the
+// rack of its data, any one rack for an adjacent gang, or else all workers.
+func (v View) FitsNow(g *Group) bool {
+	d := newDecider(v)
+	switch {
+	case g.Rack != "":
+		return d.fill(g, d.workersOnRack(d.accepting, g.Rack)) != nil
+	case !g.Adjacent || !g.Gang:
+		return d.fill(g, d.accepting.workers) != nil
+	}
+	return slices.ContainsFunc(d.accepting.racks, func(workers []int) bool { return d.fill(g, workers) != nil })
+}
+
 // decider holds the state of one decision.
 type decider struct {
 	view View
@@ -252,6 +260,16 @@
 	result           Decision
 }
 
+func newDecider(v View) *decider {
+	d := &decider{view: v, free: make([]batch.Resources, len(v.Workers))}
+	for i := range v.Workers {
+		d.free[i] = v.Workers[i].Free
+	}
+	d.indexRacks()
+	d.accepting = d.pool(func(*Worker) bool { return true })
+	return d
+}
+
 // indexRacks numbers the racks in the order of their names.
 func (d *decider) indexRacks() {
 	d.rackIndex = map[string]int{}
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -22,6 +22,10 @@
 	runs        [][]*placement
 }
 
+func newDecisionView(now time.Time) *decisionView {
+	return &decisionView{input: assignment.View{Now: now}, workerIndex: map[string]int{}}
+}
+
 // decideSafely makes a decision. It recovers from a panic, so that leases are
 // still renewed and runs continue. The caller holds the lock.
 func (p *Planner) decideSafely(now time.Time) {
--- a/scheduler/control/evacuation.go
+++ b/scheduler/control/evacuation.go
@@ -199,11 +199,33 @@
 		if _, ok := spare[service]; !ok {
 			spare[service] = p.spareCapacity(service, now)
 		}
-		r.Fits = pl.step.AllocatedResources().Times(len(members)).Fits(spare[service])
+		r.Fits = pl.step.AllocatedResources().Times(len(members)).Fits(spare[service]) && p.fitsElsewhere(members, now)
 	}
 	return r
 }
 
+// fitsElsewhere reports whether a run, or a gang with all its members, could start
+// on other workers now, near its data and in one rack if that matters to it. Of the
+// workers of an advised step only approved ones count. The caller holds the lock.
+func (p *Planner) fitsElsewhere(members []*placement, now time.Time) bool {
+	v := newDecisionView(now)
+	p.addWorkers(v, now)
+	pl := members[0]
+	g := p.newGroup(v, pl.job, pl.id.Occurrence, pl.id.Step, pl.job.spec.Due(pl.id.Occurrence))
+	for _, m := range members {
+		g.Indexes = append(g.Indexes, m.id.Index)
+	}
+	if p.needsAdvice(pl.job) {
+		g.Allowed = map[string]bool{}
+		if a := pl.job.advice[stepRef{pl.id.Occurrence, pl.id.Step}]; a != nil {
+			for _, w := range p.workers {
+				g.Allowed[w.info.ID] = a.verdicts[workerIncarnation{w.info.ID, w.incarnation}]
+			}
+		}
+	}
+	return v.input.FitsNow(&g)
+}
+
 // spareCapacity returns the free capacity of the workers of a service that accept
 // tasks, less what its waiting tasks need.
 func (p *Planner) spareCapacity(service string, now time.Time) batch.Resources {
--- a/scheduler/control/evacuation_test.go
+++ b/scheduler/control/evacuation_test.go
@@ -346,6 +346,69 @@
 	})
 }
 
+// TestEvacuatedRunKeepsItsPlace guards against runs that are stopped in an evacuated
+// data centre although the free workers elsewhere may not run them, or only slowly.
+func TestEvacuatedRunKeepsItsPlace(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		queue string
+		step  batch.Step
+		// prepare changes the cluster before the planner starts.
+		prepare func(f *testCluster)
+		moves   bool
+	}{
+		{name: "any worker", step: batch.Step{}, moves: true},
+		{name: "the label of one data centre", step: batch.Step{Label: "only-a"}, prepare: func(f *testCluster) {
+			for id, r := range f.runners {
+				if id < "w08" {
+					r.SetLabels("only-a")
+				}
+			}
+		}},
+		{name: "near its data", step: batch.Step{Rack: "r0"}},
+		{name: "an advised step", queue: "advised", step: batch.Step{}, prepare: func(f *testCluster) {
+			f.adviser = &fakeAdviser{approved: map[string]bool{"w00": true}, validity: time.Second}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newZonedCluster(t)
+				if c.prepare != nil {
+					c.prepare(f)
+				}
+				f.config.Queues["advised"] = Queue{Name: "advised", Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 3, Target: time.Second, Advised: true}
+				p, stop := f.startPlanner()
+				defer stop()
+				time.Sleep(settleTime)
+				c.step.Tasks, c.step.Checkpoints, c.step.Estimate = 1, true, 20*time.Second
+				c.step.Need = batch.Resources{MilliCPU: 1000, Accelerators: 8}
+				queue := c.queue
+				if queue == "" {
+					queue = "later"
+				}
+				f.submit(p, batchJob("j", queue, "a", "20s", c.step))
+				time.Sleep(5 * time.Second)
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				now := time.Now()
+				var pl *placement
+				for _, w := range p.workers {
+					for _, each := range w.placements {
+						pl = each
+					}
+				}
+				pl.checkpoint, pl.worker.coldUntil = "c", now.Add(time.Minute)
+				for _, w := range p.workers {
+					w.evacuated = w.info.DataCentre == pl.worker.info.DataCentre
+				}
+				if r := p.evacuatedRun([]*placement{pl}, map[string]batch.Resources{}, now); r.WorthMoving() != c.moves {
+					t.Errorf("moved %v, want %v: %+v", !c.moves, c.moves, r)
+				}
+			})
+		})
+	}
+}
+
 // TestColdWorkersKeepTheirSpeed guards against taking a worker that has started
 // recently for a slow one for good.
 func TestColdWorkersKeepTheirSpeed(t *testing.T) {
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -11,24 +11,11 @@
 
 // buildView collects the input of a decision.
 func (p *Planner) buildView(now time.Time) *decisionView {
-	v := &decisionView{input: assignment.View{Now: now}, workerIndex: map[string]int{}}
+	v := newDecisionView(now)
 	p.checkDataCentres(now)
 	p.refreshEvacuations(now)
 	p.refreshTrust(now)
-	for _, w := range p.workers {
-		v.workers = append(v.workers, w)
-	}
-	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	cautious := p.unknownSpeed()
-	for i, w := range v.workers {
-		v.workerIndex[w.info.ID] = i
-		v.input.Workers = append(v.input.Workers, assignment.Worker{
-			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.currentSpeed(w, now),
-			SpeedKnown: p.speeds.Known(w.info.ID), CautiousSpeed: p.cautiousSpeed(w, cautious, now), AcceptsTasks: p.evacuations.known && w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
-			Trust: p.workerTrust(w, now),
-		})
-	}
+	p.addWorkers(v, now)
 	p.setReserve(v, now)
 	v.input.IgnoreMemory = !p.hasLargeService()
 	v.input.Stopping = p.timing().stopPolicy()
@@ -43,6 +30,25 @@
 	return v
 }
 
+// addWorkers adds the workers, in the order of their IDs.
+func (p *Planner) addWorkers(v *decisionView, now time.Time) {
+	for _, w := range p.workers {
+		v.workers = append(v.workers, w)
+	}
+	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	cautious := p.unknownSpeed()
+	for i, w := range v.workers {
+		v.workerIndex[w.info.ID] = i
+		v.input.Workers = append(v.input.Workers, assignment.Worker{
+			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
+			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.currentSpeed(w, now),
+			SpeedKnown: p.speeds.Known(w.info.ID), CautiousSpeed: p.cautiousSpeed(w, cautious, now),
+			AcceptsTasks: p.evacuations.known && w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
+			Trust:        p.workerTrust(w, now),
+		})
+	}
+}
+
 // liveByAcceptance returns the live jobs in order of acceptance.
 func (p *Planner) liveByAcceptance() []*job {
 	live := make([]*job, 0, len(p.live))
@@ -110,6 +116,11 @@
 			}
 			g := p.newGroup(v, j, occurrence, step, due)
 			g.Indexes = waiting
+			ref := stepRef{occurrence, step}
+			if _, ok := j.readySince[ref]; !ok {
+				j.readySince[ref] = now
+			}
+			g.ReadySince = j.readySince[ref]
 			g.Guaranteed = covered
 			g.NeverStarted = !j.started
 			g.Idle = j.placementCount == 0
@@ -161,12 +172,7 @@
 	if s.MaxPerWorker > 0 {
 		g.RunningPerWorker = p.tasksPerWorker(j, occurrence, step)
 	}
-	ref := stepRef{occurrence, step}
-	if _, ok := j.readySince[ref]; !ok {
-		j.readySince[ref] = v.input.Now
-	}
-	g.ReadySince = j.readySince[ref]
-	if reserved, ok := j.reservations[ref]; ok && v.input.Now.Before(reserved.expiresAt) {
+	if reserved, ok := j.reservations[stepRef{occurrence, step}]; ok && v.input.Now.Before(reserved.expiresAt) {
 		for _, id := range reserved.workers {
 			if i, ok := v.workerIndex[id]; ok {
 				g.ReservedWorkers = append(g.ReservedWorkers, i)
--- a/scheduler/platform/memory/runner.go
+++ b/scheduler/platform/memory/runner.go
@@ -104,6 +104,13 @@
 	r.info.DataCentre = name
 }
 
+// SetLabels sets the labels that the worker reports.
+func (r *Runner) SetLabels(labels ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info.Labels = labels
+}
+
 // Starts returns all runs in the order in which they were started.
 func (r *Runner) Starts() []platform.Run {
 	r.mu.Lock()
