control, adapter: odd entries of the registry neither stop the planner nor count

Seen by callers (reported by operators of another system, shown here by tests): with one entry of another writer among those of the workers, of a capacity near the largest 64-bit number, no call is answered once an adjacent urgent gang waits in a deployment with a large service and cheap stops. Entries behind which nothing listens changed what is accepted, which order of work is used, what room is kept and whether their data centre counts as cut off.

Cause: gangWorkers counted up to the capacity one by one under the planner's lock; the registry took any port and capacity; what is only counted did not ask whether anything had ever responded.

Change: Resources.CountIn divides. TestUrgentNeed gives its worker a process, since one that never responded does not count any more.

--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -100,17 +100,7 @@
 	if g.MaxPerWorker > 0 {
 		n = min(n, g.MaxPerWorker-g.RunningPerWorker[w.ID])
 	}
-	n = min(n, fittingTasks(free.MilliCPU, g.Need.MilliCPU))
-	n = min(n, fittingTasks(free.MemoryMB, g.Need.MemoryMB))
-	n = min(n, fittingTasks(free.Accelerators, g.Need.Accelerators))
-	return max(n, 0)
-}
-
-func fittingTasks(free, need int64) int {
-	if need <= 0 {
-		return unlimitedSlots
-	}
-	return int(max(free, 0) / need)
+	return g.Need.CountIn(free, n)
 }
 
 // unlimitedSlots stands for no limit; it exceeds the number of tasks of any
--- a/scheduler/batch/job.go
+++ b/scheduler/batch/job.go
@@ -36,6 +36,19 @@
 	return Resources{r.MilliCPU * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
 }
 
+// CountIn returns how many times r fits into the capacity, at most limit.
+func (r Resources) CountIn(capacity Resources, limit int) int {
+	n := int64(max(limit, 0))
+	for _, v := range [...]struct{ need, capacity int64 }{
+		{r.MilliCPU, capacity.MilliCPU}, {r.MemoryMB, capacity.MemoryMB}, {r.Accelerators, capacity.Accelerators},
+	} {
+		if v.need > 0 {
+			n = min(n, max(v.capacity, 0)/v.need)
+		}
+	}
+	return int(n)
+}
+
 // acceleratorCores is the number of cores that one accelerator counts as when
 // sizes are compared. The users' accounting uses the same weight.
 const acceleratorCores = 8
--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -46,6 +46,8 @@
 	adviser    platform.Adviser
 	// router reaches the workers, if it is not nil.
 	router *relay.Router
+	// foreign lists and reaches the workers, if it is not nil.
+	foreign *foreignEntries
 }
 
 // heartbeatInterval is the time between two heartbeats of a worker.
@@ -133,11 +135,15 @@
 		f.t.Fatal(err)
 	}
 	var dialer Dialer = f
-	if f.router != nil {
+	var registry Registry = f
+	switch {
+	case f.router != nil:
 		dialer = f.router
+	case f.foreign != nil:
+		dialer, registry = f.foreign, f.foreign
 	}
 	p := New(Dependencies{
-		Term: planningTerm, Store: f.store, Registry: f, Dialer: dialer, Adviser: f.adviser, Config: func() *Config { return f.config },
+		Term: planningTerm, Store: f.store, Registry: registry, Dialer: dialer, Adviser: f.adviser, Config: func() *Config { return f.config },
 		Evacuations: f.knownEvacuations,
 		Timing:      Timing{Lease: leaseDuration, StopTimeout: stopTimeout, Heartbeat: heartbeatInterval, Retention: time.Minute},
 		Log:         klog.Background(), Metrics: metrics.NewSet(),
--- a/scheduler/control/datacentre.go
+++ b/scheduler/control/datacentre.go
@@ -101,6 +101,10 @@
 func (p *Planner) checkDataCentres(now time.Time) {
 	overdueWorkers := map[*dataCentre]int{}
 	for _, w := range p.workers {
+		if w.incarnation == 0 {
+			// Nothing may be behind its entry, and it gets no tasks in any case.
+			continue
+		}
 		if c := p.dataCentreOf(w); w.calls.overdue(c.lastResponse, now) {
 			overdueWorkers[c]++
 		}
--- a/scheduler/control/demand.go
+++ b/scheduler/control/demand.go
@@ -161,7 +161,7 @@
 		}
 		service := p.service(j)
 		if _, ok := capacity[service]; !ok {
-			capacity[service] = p.largestWorker(service)
+			capacity[service] = p.largestWorker(service, now)
 		}
 		workers, perWorker := 0, batch.Resources{}
 		if p.timing().statesCheapStops() {
@@ -214,10 +214,10 @@
 
 // largestWorker returns the capacity of the worker of a service with the most
 // accelerators. The caller holds the lock.
-func (p *Planner) largestWorker(service string) batch.Resources {
+func (p *Planner) largestWorker(service string, now time.Time) batch.Resources {
 	largest := batch.Resources{}
 	for _, w := range p.workers {
-		if w.info.Service == service && w.info.Capacity.Accelerators > largest.Accelerators {
+		if w.info.Service == service && w.info.Capacity.Accelerators > largest.Accelerators && w.credible(now) {
 			largest = w.info.Capacity
 		}
 	}
@@ -234,11 +234,7 @@
 		if !s.Gang || !s.Adjacent || need.Accelerators == 0 || !need.Fits(capacity) {
 			continue
 		}
-		perWorker := 1
-		for need.Times(perWorker + 1).Fits(capacity) {
-			perWorker++
-		}
-		perWorker = min(perWorker, s.Tasks)
+		perWorker := need.CountIn(capacity, s.Tasks)
 		if n := (s.Tasks + perWorker - 1) / perWorker; n > most {
 			most, used = n, need.Times(perWorker)
 		}
--- a/scheduler/control/demand_test.go
+++ b/scheduler/control/demand_test.go
@@ -45,7 +45,7 @@
 	}
 	for _, tt := range tests {
 		now := start.Add(tt.now)
-		w := &worker{placements: map[batch.TaskID]*placement{}, info: platform.RunnerInfo{
+		w := &worker{incarnation: 1, placements: map[batch.TaskID]*placement{}, info: platform.RunnerInfo{
 			Service: "s", Capacity: batch.Resources{MilliCPU: 64000, MemoryMB: 131072, Accelerators: 8},
 		}}
 		p := &Planner{estimator: queue.NewEstimator(), speeds: pace.New(), workers: map[string]*worker{"w": w}}
--- a/scheduler/control/evacuation.go
+++ b/scheduler/control/evacuation.go
@@ -87,19 +87,19 @@
 			}
 		}
 	}
-	p.reportGuarantees(set)
+	p.reportGuarantees(set, now)
 }
 
 // reportGuarantees logs and counts the accelerators that are guaranteed to teams
 // but exceed those of the workers outside the evacuated data centres.
-func (p *Planner) reportGuarantees(set evacuation.Set) {
+func (p *Planner) reportGuarantees(set evacuation.Set, now time.Time) {
 	config := p.Config()
 	if config == nil {
 		return
 	}
 	capacity, guaranteed := int64(0), int64(0)
 	for _, w := range p.workers {
-		if w.listed && !w.info.Leaving && !set.Contains(w.info.DataCentre) {
+		if w.listed && w.credible(now) && !w.info.Leaving && !set.Contains(w.info.DataCentre) {
 			capacity += w.info.Capacity.Accelerators
 		}
 	}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -247,7 +247,18 @@
 func (p *Planner) Workers() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.workers)
+	return p.countWorkers(time.Now())
+}
+
+// countWorkers counts the credible workers. The caller holds the lock.
+func (p *Planner) countWorkers(now time.Time) int {
+	n := 0
+	for _, w := range p.workers {
+		if w.credible(now) {
+			n++
+		}
+	}
+	return n
 }
 
 // Wake triggers another decision.
--- a/scheduler/control/status.go
+++ b/scheduler/control/status.go
@@ -30,7 +30,7 @@
 func (p *Planner) Status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := Status{Generation: p.Term.Generation(), Workers: len(p.workers), LiveJobs: len(p.live), Interference: p.interference.Pairs()}
+	s := Status{Generation: p.Term.Generation(), Workers: p.countWorkers(time.Now()), LiveJobs: len(p.live), Interference: p.interference.Pairs()}
 	for _, name := range p.evacuations.set.DataCentres() {
 		s.Evacuations = append(s.Evacuations, EvacuationStatus{DataCentre: name, Since: p.evacuations.since[name], Runs: len(p.runsIn(name))})
 	}
--- a/scheduler/control/submission.go
+++ b/scheduler/control/submission.go
@@ -122,17 +122,17 @@
 // feasible reports whether the listed workers outside evacuated data centres, if
 // they were empty, could hold a task of the step, or all tasks of a gang.
 func (p *Planner) feasible(s *batch.Step, service string) bool {
-	need, slots := s.AllocatedResources(), 0
+	need, slots, now := s.AllocatedResources(), 0, time.Now()
 	for _, w := range p.workers {
-		if !w.listed || w.evacuated || w.info.Service != service || !need.Fits(w.info.Capacity) {
+		if !w.listed || w.evacuated || !w.credible(now) || w.info.Service != service || !need.Fits(w.info.Capacity) {
 			continue
 		}
-		free := w.info.Capacity
-		for n := 0; need.Fits(free) && (s.MaxPerWorker == 0 || n < s.MaxPerWorker); n++ {
-			free = free.Minus(need)
-			if slots++; slots >= s.Tasks {
-				return true
-			}
+		limit := s.Tasks
+		if s.MaxPerWorker > 0 {
+			limit = min(limit, s.MaxPerWorker)
+		}
+		if slots += need.CountIn(w.info.Capacity, limit); slots >= s.Tasks {
+			return true
 		}
 	}
 	return slots > 0 && !s.Gang
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -38,7 +38,7 @@
 	levels := map[trust.Level]int{}
 	excluded := map[string][]*worker{}
 	for _, w := range p.workers {
-		if w.listed {
+		if w.listed && w.credible(now) {
 			p.trust.listed[w.info.Service]++
 		}
 		p.trust.unproven = p.trust.unproven || w.trust.Unproven()
@@ -296,7 +296,7 @@
 	var sharing []*worker
 	failures := 0
 	for _, w := range p.workers {
-		if !w.listed || w.info.Service != failed.info.Service || of(w) != value {
+		if !w.listed || !w.credible(now) || w.info.Service != failed.info.Service || of(w) != value {
 			continue
 		}
 		sharing = append(sharing, w)
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -33,7 +33,9 @@
 // addWorkers adds the workers, in the order of their IDs.
 func (p *Planner) addWorkers(v *decisionView, now time.Time) {
 	for _, w := range p.workers {
-		v.workers = append(v.workers, w)
+		if w.credible(now) {
+			v.workers = append(v.workers, w)
+		}
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	cautious := p.unknownSpeed()
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -55,6 +55,10 @@
 	// it disappeared.
 	listed     bool
 	unlistedAt time.Time
+	// credibleUntil is until when the worker counts without having responded.
+	// firstListedAt is when the registry first listed it.
+	credibleUntil time.Time
+	firstListedAt time.Time
 	// lastHeartbeat is the earliest possible time of the latest heartbeat.
 	lastHeartbeat time.Time
 	// incarnation is the process that has responded in this term, or 0.
@@ -169,6 +173,7 @@
 		}
 		if w.info.HeartbeatVersion != info.HeartbeatVersion {
 			w.lastHeartbeat = p.registryReadAt
+			w.believe(now, p.Timing.Heartbeat)
 			if info.ColdRemaining > 0 {
 				w.coldUntil = now.Add(info.ColdRemaining)
 			}
@@ -204,6 +209,8 @@
 		unstoredEnds: map[int64]struct{}{}, placements: map[batch.TaskID]*placement{},
 		pollRequests: make(chan struct{}, 1),
 	}
+	w.firstListedAt = time.Now()
+	w.believe(w.firstListedAt, p.Timing.Heartbeat)
 	p.workers[info.ID] = w
 	ctx, cancel := context.WithCancel(p.ctx)
 	w.cancel = cancel
@@ -226,6 +233,33 @@
 	return p.Timing.Lease + time.Duration(maxClockDrift*float64(p.Timing.Lease)) + leaseMargin + p.Timing.StopTimeout
 }
 
+const (
+	// credibleHeartbeats is the number of heartbeat intervals for which an entry of
+	// the registry counts as a worker without a response, and minCredibleTime the
+	// least such time: a planner responds to its first polls within it.
+	credibleHeartbeats = 4
+	minCredibleTime    = 5 * time.Second
+	// maxCredibleTime is how long an entry counts without a response even if it has
+	// heartbeats. It is well above the length of the outages that were seen.
+	maxCredibleTime = 30 * time.Second
+)
+
+// believe lets the worker count for a while because it was listed with a new
+// heartbeat.
+func (w *worker) believe(now time.Time, heartbeat time.Duration) {
+	until := now.Add(max(credibleHeartbeats*heartbeat, minCredibleTime))
+	if limit := w.firstListedAt.Add(maxCredibleTime); limit.Before(until) {
+		until = limit
+	}
+	w.credibleUntil = until
+}
+
+// credible reports whether there is a worker behind the entry of the registry, as
+// far as is known. Entries of other writers look like workers but never respond.
+func (w *worker) credible(now time.Time) bool {
+	return w.incarnation != 0 || len(w.placements) > 0 || now.Before(w.credibleUntil)
+}
+
 // schedulable reports whether the worker may get new tasks.
 func (w *worker) schedulable(now time.Time) bool {
 	return w.listed && !w.info.Leaving && !w.evacuated && w.incarnation != 0 && w.incarnation == w.info.Incarnation &&
@@ -359,6 +393,9 @@
 	if p.exited(w) {
 		p.loseRuns(w, "worker exited")
 	}
+	if !w.credible(time.Now()) {
+		return idlePollInterval
+	}
 	return pollRetryInterval
 }
 
