control, entry: a resigning planner leaves the ends of its leases

Cause: the successor counted the 8 s for which leases may be renewed without a transaction, and the longest lease, from the start of its own term, whether or not the predecessor had resigned; and it did not know which workers were leaving.

Change: a planner that resigns grants nothing any more and stores with its last transaction when its leases end: in general, and of each worker with tasks that does not respond or is leaving; of the latter also address and latest heartbeat, so that its exit is told from silence as before. Times are on the store's clock; the uncertainty of its readings is added so that nothing ends too early. A record of another generation is ignored. After a failure of the planner the time counts from the latest change of its row.

Tests of control, term and entry pass.

--- a/daisylugd/entry/election.go
+++ b/daisylugd/entry/election.go
@@ -91,9 +91,10 @@
 		if time.Since(vacantSince) < e.takeoverDelay(leader.Generation) {
 			continue
 		}
+		formerActive := unchangedSince
 		unchangedSince, vacantSince = time.Time{}, time.Time{}
 		e.log.Info("taking over as planner", "former", leader.Name, "generation", leader.Generation+1, "reason", reason)
-		if err := e.runTerm(ctx, elector, leader); err != nil && ctx.Err() == nil {
+		if err := e.runTerm(ctx, elector, leader, formerActive); err != nil && ctx.Err() == nil {
 			e.log.Info("planner term ended or was not acquired", "error", err)
 		}
 	}
@@ -180,8 +181,9 @@
 	return ""
 }
 
-// runTerm acquires a term and runs the planner until the term ends.
-func (e *Server) runTerm(ctx context.Context, elector *term.Elector, previous term.Leader) error {
+// runTerm acquires a term and runs the planner until the term ends. The row of the
+// previous leader has not changed since formerActive.
+func (e *Server) runTerm(ctx context.Context, elector *term.Elector, previous term.Leader, formerActive time.Time) error {
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	t, err := elector.Acquire(callCtx, previous)
 	cancel()
@@ -189,7 +191,7 @@
 		return err
 	}
 	p := control.New(control.Dependencies{
-		Term: t, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.router,
+		Term: t, FormerActive: formerActive, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.router,
 		Adviser: e.services.Adviser,
 		Config:  e.currentConfig, Evacuations: e.knownEvacuations, LargeServiceWorkers: e.settings.LargeServiceWorkers, Timing: e.settings.Timing,
 		Log: e.log.WithValues("generation", t.Generation()), Metrics: e.metrics,
--- a/scheduler/control/clock_test.go
+++ b/scheduler/control/clock_test.go
@@ -104,13 +104,27 @@
 		t.Error("converted a time although the store's clock is unknown")
 	}
 	at := time.Now()
-	c.set(10*time.Second, at)
+	c.set(10*time.Second, at, at)
 	if got := c.toStore(at.Add(2 * time.Second)); got != 12000 {
 		t.Errorf("stored %d", got)
 	}
 	if got := c.fromStore(7000); !got.Equal(at.Add(-3 * time.Second)) {
 		t.Errorf("local %v", got)
 	}
+	// A slower call tells less and is ignored, a faster one would be used.
+	c.set(11*time.Second, at, at.Add(time.Second))
+	if got := c.fromStore(7000); !got.Equal(at.Add(-3 * time.Second)) {
+		t.Errorf("local %v after a slow call", got)
+	}
+	var slow storeClock
+	slow.set(10*time.Second, at.Add(-300*time.Millisecond), at.Add(200*time.Millisecond))
+	if got := slow.latestToStore(at); got < 10300 || got > 10310 {
+		t.Errorf("latest reading %d", got)
+	}
+	if first, last := slow.earliestFromStore(10000).Sub(at), slow.fromStore(10000).Sub(at); first > -300*time.Millisecond ||
+		first < -310*time.Millisecond || last != 200*time.Millisecond {
+		t.Errorf("local between %v and %v", first, last)
+	}
 	if c.toStore(time.Time{}) != 0 {
 		t.Error("the zero time was converted")
 	}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -55,10 +55,13 @@
 
 // Dependencies are the services that a planner uses.
 type Dependencies struct {
-	Term     *term.Term
-	Store    platform.Store
-	Registry Registry
-	Dialer   Dialer
+	Term *term.Term
+	// FormerActive is a time after which no transaction of an earlier planner has
+	// started. The zero value means the start of the term.
+	FormerActive time.Time
+	Store        platform.Store
+	Registry     Registry
+	Dialer       Dialer
 	// Adviser is nil if the platform has none.
 	Adviser platform.Adviser
 	// Config returns the current configuration, or nil.
@@ -125,9 +128,10 @@
 	// interference learns which tasks slow each other down.
 	interference *interference.Estimator
 	// learned holds what earlier planners have learned.
-	learned learnedState
-	demand  demand
-	trust   trustState
+	learned   learnedState
+	inherited inheritedLeases
+	demand    demand
+	trust     trustState
 	// loads holds the load of each service, loadsMeasuredAt when it was measured.
 	loads           map[string]*serviceLoad
 	loadsMeasuredAt time.Time
@@ -301,8 +305,9 @@
 		p.mu.Lock()
 		if p.resigning {
 			p.ended = true
+			row := p.leasesRow(time.Now())
 			p.mu.Unlock()
-			return p.Term.Resign(ctx)
+			return p.Term.Resign(ctx, row)
 		}
 		p.decideSafely(time.Now())
 		writes, callbacks := p.collectWrites()
--- a/scheduler/control/recovery.go
+++ b/scheduler/control/recovery.go
@@ -71,6 +71,9 @@
 	if err != nil {
 		return err
 	}
+	if err := p.loadLeases(ctx); err != nil {
+		return err
+	}
 	return p.loadLearnedState(ctx)
 }
 
@@ -85,11 +88,12 @@
 func (p *Planner) forEachRow(ctx context.Context, table string, f func(platform.StoredRow) error) error {
 	from := ""
 	for {
+		start := time.Now()
 		page, err := p.Store.List(ctx, platform.Range{Table: table, Part: term.Part, From: from, Limit: pageSize})
 		if err != nil {
 			return err
 		}
-		p.clock.set(page.Now, time.Now())
+		p.clock.set(page.Now, start, time.Now())
 		for _, r := range page.Rows {
 			if err := f(r); err != nil {
 				return err
@@ -151,7 +155,9 @@
 func (p *Planner) adoptRun(j *job, id batch.TaskID, t *batch.Task) {
 	w := p.workers[t.Worker]
 	if w == nil {
-		w = p.addWorker(platform.RunnerInfo{ID: t.Worker})
+		info, heartbeat := p.inheritedInfo(t.Worker)
+		w = p.addWorker(info)
+		w.lastHeartbeat = heartbeat
 	}
 	pl := &placement{
 		job: j, id: id, step: &j.spec.Steps[id.Step], run: t.Run, worker: w, phase: phaseInherited, checkpoint: t.Checkpoint,
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -172,7 +172,9 @@
 			w.runner = p.Dialer.Runner(info)
 		}
 		if w.info.HeartbeatVersion != info.HeartbeatVersion {
-			w.lastHeartbeat = p.registryReadAt
+			if !p.registryReadAt.IsZero() {
+				w.lastHeartbeat = p.registryReadAt
+			}
 			w.believe(now, p.Timing.Heartbeat)
 			if info.ColdRemaining > 0 {
 				w.coldUntil = now.Add(info.ColdRemaining)
@@ -205,7 +207,7 @@
 // addWorker adds a worker and starts polling it. The caller holds the lock.
 func (p *Planner) addWorker(info platform.RunnerInfo) *worker {
 	w := &worker{
-		info: info, runner: p.Dialer.Runner(info), leasesEnd: p.inheritedLeasesEnd(),
+		info: info, runner: p.Dialer.Runner(info), leasesEnd: p.inheritedLeasesEnd(info.ID),
 		unstoredEnds: map[int64]struct{}{}, placements: map[batch.TaskID]*placement{},
 		pollRequests: make(chan struct{}, 1),
 	}
@@ -221,12 +223,6 @@
 	return w
 }
 
-// inheritedLeasesEnd returns when the leases granted by an earlier planner have
-// expired.
-func (p *Planner) inheritedLeasesEnd() time.Time {
-	return p.startedAt.Add(LeaseRenewalGracePeriod + p.maxLeaseTime())
-}
-
 // maxLeaseTime returns how long a run may continue under a lease granted now,
 // taking into account a slow clock and the time to stop the run.
 func (p *Planner) maxLeaseTime() time.Duration {
@@ -324,7 +320,7 @@
 // delay before the next poll.
 func (p *Planner) poll(ctx context.Context, w *worker) time.Duration {
 	p.mu.Lock()
-	if p.Term.SinceLastCommit() > LeaseRenewalGracePeriod {
+	if p.ended || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod {
 		// Another planner may be active; the leases must be able to expire.
 		p.mu.Unlock()
 		return pollRetryInterval
--- a/scheduler/term/term.go
+++ b/scheduler/term/term.go
@@ -232,11 +232,11 @@
 	return fmt.Sprintf("resigned from term with generation %d", e.Generation)
 }
 
-// Resign ends the term, clears the leader's name in the row and returns
-// *ResignedError on success.
-func (t *Term) Resign(ctx context.Context) error {
+// Resign ends the term with the writes, clears the leader's name in the row and
+// returns *ResignedError on success.
+func (t *Term) Resign(ctx context.Context, writes []platform.StoredRow) error {
 	t.leader.Name = ""
-	if err := t.Commit(ctx, nil, nil); err != nil {
+	if err := t.Commit(ctx, writes, nil); err != nil {
 		return err
 	}
 	return &ResignedError{Generation: t.leader.Generation}
--- a/scheduler/term/term_test.go
+++ b/scheduler/term/term_test.go
@@ -143,7 +143,7 @@
 		store := memory.NewStore(1)
 		first := acquireTerm(t, store, "a")
 		var resigned *ResignedError
-		if err := first.Resign(t.Context()); !errors.As(err, &resigned) {
+		if err := first.Resign(t.Context(), nil); !errors.As(err, &resigned) {
 			t.Fatal(err)
 		}
 		leader, err := New(store, "b", 1).Leader(t.Context())
