control, schema: the record of a job says whether its queue is advised

Cause: needsAdvice falls back to the policy stored with the job, and EncodeJob did not store Queue.Advised.

Change: Policy.advised.

--- a/scheduler/control/adviceplacing_test.go
+++ b/scheduler/control/adviceplacing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -74,6 +75,7 @@
 func (r *advisedRunner) Start(ctx context.Context, request platform.StartRequest) (time.Duration, error) {
 	if request.Task.Job[0] == 'a' && request.Ticket != "ticket "+r.id {
 		r.refused.Add(1)
+		time.Sleep(10 * time.Millisecond)
 		return 0, &platform.TicketError{}
 	}
 	return r.Runner.Start(ctx, request)
@@ -183,3 +185,35 @@
 		})
 	}
 }
+
+// TestAdvisedJobOfRemovedQueue guards against a job that starts without a ticket, over
+// and over, once its queue is no longer configured.
+func TestAdvisedJobOfRemovedQueue(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		t.Run(fmt.Sprintf("change of planner %v", change), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, _, refused := newAdvisedCluster(t, 2)
+				p, stop := f.startPlanner()
+				time.Sleep(settleTime)
+				whole := batch.Step{Tasks: 2, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}}
+				f.submit(p, batchJob("b", "later", "b", "5s", whole))
+				time.Sleep(time.Second)
+				f.submit(p, batchJob("a", "advised", "a", "1s", whole))
+				next := *f.config
+				next.Queues = maps.Clone(next.Queues)
+				delete(next.Queues, "advised")
+				f.config = &next
+				if change {
+					stop()
+					p, stop = f.startPlanner()
+				}
+				defer func() { stop() }()
+				time.Sleep(10 * time.Second)
+				f.expectState(p, "advised", "a", batch.JobDone)
+				if n := refused.Load(); n > 0 {
+					t.Errorf("%d starts without a ticket", n)
+				}
+			})
+		})
+	}
+}
--- a/scheduler/control/record.go
+++ b/scheduler/control/record.go
@@ -32,7 +32,7 @@
 		Accepted: j.AcceptedAt.UnixMilli(), Interval: j.Interval.Milliseconds(), Occurrences: int32(j.Occurrences),
 		Policy: &schema.Policy{
 			Service: q.Service, Priority: int32(q.Priority), Attempts: int32(q.MaxAttempts),
-			Stretch: q.Stretch, Target: q.Target.Milliseconds(), Guaranteed: guaranteed,
+			Stretch: q.Stretch, Target: q.Target.Milliseconds(), Guaranteed: guaranteed, Advised: q.Advised,
 		},
 	}
 	if j.Occurrences > 0 {
@@ -73,7 +73,7 @@
 	p := r.GetPolicy()
 	return j, Queue{
 		Name: r.GetQueue(), Service: p.GetService(), Priority: int(p.GetPriority()), MaxAttempts: int(p.GetAttempts()),
-		Stretch: p.GetStretch(), Target: milliseconds(p.GetTarget()),
+		Stretch: p.GetStretch(), Target: milliseconds(p.GetTarget()), Advised: p.GetAdvised(),
 	}, p.GetGuaranteed()
 }
 
