--- a/scheduler/control/advice.go
+++ b/scheduler/control/advice.go
@@ -66,7 +66,7 @@
 
 // needsAdvice reports whether the steps of a job need tickets.
 func (p *Planner) needsAdvice(j *job) bool {
-	if p.Adviser == nil {
+	if p.Adviser == nil || !p.Adviser.Configured() {
 		return false
 	}
 	if c := p.Config(); c != nil {
--- a/scheduler/control/advice_test.go
+++ b/scheduler/control/advice_test.go
@@ -22,6 +22,8 @@
 	rejections int
 }
 
+func (a *fakeAdviser) Configured() bool { return true }
+
 func (a *fakeAdviser) Advise(_ context.Context, _ batch.TaskID, workers []string) (platform.Advice, error) {
 	a.calls++
 	a.maxWorkers = max(a.maxWorkers, len(workers))
--- a/scheduler/control/adviceplacing_test.go
+++ b/scheduler/control/adviceplacing_test.go
@@ -20,6 +20,8 @@
 	failing         map[string]bool
 }
 
+func (a *lenientAdviser) Configured() bool { return true }
+
 func (a *lenientAdviser) Advise(_ context.Context, step batch.TaskID, workers []string) (platform.Advice, error) {
 	time.Sleep(a.delay + 5*time.Millisecond*time.Duration(len(workers)))
 	if a.failing[step.Job] {
--- a/scheduler/platform/runner.go
+++ b/scheduler/platform/runner.go
@@ -153,6 +153,9 @@
 // Adviser decides on which workers a step may run. Its decision for a worker
 // does not change during the lifetime of the worker process.
 type Adviser interface {
+	// Configured reports whether the platform has an adviser at present.
+	Configured() bool
+
 	// Advise returns tickets for those workers that may run the step. The
 	// errors are *UnhealthyError if too many calls are waiting, and
 	// *UnknownOutcomeError.
