control, batch: a stored placement is not yet a run that has begun

Cause: adoptRuns marked each job with a stored placement as started.

Change: a job counts as started if its record shows a run for certain, or once a run or an end of it is reported.

Tests of control and batch pass.

--- a/scheduler/batch/progress.go
+++ b/scheduler/batch/progress.go
@@ -75,6 +75,22 @@
 	return p
 }
 
+// Begun reports whether a task of the job has certainly run. A first run that is
+// placed may not have reached its worker.
+func (p *Progress) Begun() bool {
+	if p.State != JobQueued {
+		return true
+	}
+	for i := range p.Steps {
+		for t := range p.Steps[i].Tasks {
+			if task := &p.Steps[i].Tasks[t]; task.State == TaskDone || task.Run > 1 || task.Failures > 0 || task.Checkpoint != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Recount updates the counts of done tasks after task states were set directly.
 func (p *Progress) Recount() {
 	for i := range p.Steps {
--- a/scheduler/control/end.go
+++ b/scheduler/control/end.go
@@ -22,6 +22,7 @@
 		return
 	}
 	j := pl.job
+	j.started = true
 	p.instruments.countRunEnd(j.spec.Queue, string(e.Outcome))
 	verbosity := 0
 	if e.Outcome == platform.RunDone {
--- a/scheduler/control/recovery.go
+++ b/scheduler/control/recovery.go
@@ -138,13 +138,13 @@
 // jobs are included, because they occupy resources until they are stopped.
 func (p *Planner) adoptRuns() {
 	for _, j := range p.jobs {
+		j.started = j.progress.Begun()
 		for i := range j.progress.Steps {
 			s := &j.progress.Steps[i]
 			for t := range s.Tasks {
 				if s.Tasks[t].State != batch.TaskPlaced {
 					continue
 				}
-				j.started = true
 				id := batch.TaskID{Job: j.spec.ID, Occurrence: i / len(j.spec.Steps), Step: i % len(j.spec.Steps), Index: t}
 				p.adoptRun(j, id, &s.Tasks[t])
 			}
--- /dev/null
+++ b/scheduler/control/recovery_test.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform/memory"
+)
+
+// TestPlacedJobIsPendingUntilItRuns guards against a job that is not counted as
+// pending after a change of planner, because the former planner had stored a run that
+// never reached its worker.
+func TestPlacedJobIsPendingUntilItRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 2)
+		p, stop := f.startPlanner()
+		time.Sleep(settleTime)
+		one := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}}
+		f.submit(p, batchJob("runs", "later", "a", "60s", one))
+		time.Sleep(time.Second)
+		for _, r := range f.runners {
+			r.SetFaults(memory.Faults{Silent: true})
+		}
+		f.submit(p, batchJob("waits", "later", "a", "60s", one))
+		time.Sleep(50 * time.Millisecond)
+		stop()
+		p, stop = f.startPlanner()
+		defer stop()
+		time.Sleep(settleTime)
+		if n := p.Pending("later").Count; n < 1 {
+			t.Errorf("%d pending before the workers respond, want at least the one that waits", n)
+		}
+		for _, r := range f.runners {
+			r.SetFaults(memory.Faults{})
+		}
+		time.Sleep(20 * time.Second)
+		if n := p.Pending("later").Count; n != 0 {
+			t.Errorf("%d pending after both have run, want 0", n)
+		}
+	})
+}
