assignment: an overdue long-running task takes any worker with room

Cause: mayRelaxPlacement asked for less than half of the service to be in use; the room it waits for becomes free by itself, but not that of long-running work. And reserveForBlocked held the free room for a gang of higher rank.

Change: a group with a long-running task that ran before and has waited for placementTimeout relaxes its placement as soon as one task fits twice over, and ranks before all groups that are not guaranteed.

Tests of control and assignment pass.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -91,6 +91,9 @@
 	// ReservedWorkers are the workers, by position in the view, on which
 	// capacity is being freed for the tasks.
 	ReservedWorkers []int
+	// Restarts is set if a long-running task that ran before waits. It is to be at work
+	// again soon, however full the service is.
+	Restarts bool
 	// Trial is set if the tasks may start on a worker whose trust is limited.
 	Trial bool
 	// ProvenOnlyUntil is until when the tasks start only on proven workers; zero
@@ -421,9 +424,15 @@
 // plenty of free capacity.
 const placementTimeout = 1500 * time.Millisecond
 
+// isOverdue reports whether a long-running task that ran before has waited for
+// placementTimeout.
+func (g *Group) isOverdue(now time.Time) bool {
+	return g.Restarts && !g.Gang && now.Sub(g.ReadySince) >= placementTimeout
+}
+
 // mayRelaxPlacement reports whether the tasks should stop waiting for better
 // workers: they have waited for placementTimeout, less than half of the service's
-// capacity is in use, and they fit twice, on workers that may be unapproved so far.
+// capacity is in use unless they are overdue, and they fit twice, on workers that may be unapproved so far.
 // If no run of the job is in progress and its tasks can start one by one, one task
 // has to fit: any more would be stopped again for the expected urgent work.
 func (d *decider) mayRelaxPlacement(g *Group) bool {
@@ -437,11 +446,12 @@
 		}
 	}
 	tasks, need := len(g.Indexes), g.totalNeed()
-	if g.Idle && !g.Gang {
+	overdue := g.isOverdue(d.view.Now)
+	if overdue || g.Idle && !g.Gang {
 		tasks, need = 1, g.Need
 	}
 	half := batch.Resources{MilliCPU: total.MilliCPU / 2, MemoryMB: total.MemoryMB / 2, Accelerators: total.Accelerators / 2}
-	return half.Fits(free) && d.freeSlots(g.approved(), d.accepting.workers) >= tasks && need.Times(2).Fits(free)
+	return (overdue || half.Fits(free)) && d.freeSlots(g.approved(), d.accepting.workers) >= tasks && need.Times(2).Fits(free)
 }
 
 // findWorkers returns a worker of the pool for each task of a gang, or for as
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -461,3 +461,70 @@
 		}
 	}
 }
+
+// TestOverdueLongRunningTask guards against a long-running task that stays away after
+// its worker has left, because the rack of its data is full, because a blocked gang
+// holds the room, or because room is kept for urgent work.
+func TestOverdueLongRunningTask(t *testing.T) {
+	newTask := func() Group {
+		g := taskGroup("lasting", 1, 1)
+		g.Priority, g.Restarts, g.ReadySince = 2, true, now.Add(-placementTimeout)
+		return g
+	}
+	fill := func(v *View, used int64, workers ...int) {
+		for _, w := range workers {
+			useAccelerators(&v.Workers[w], used)
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		view   func() View
+		starts int
+	}{
+		{"full rack of its data", func() View {
+			g := newTask()
+			g.Rack = "r1"
+			v := View{Workers: idleRacks(2), Groups: []Group{g}}
+			fill(&v, 8, span(8, 15)...)
+			fill(&v, 8, span(0, 4)...)
+			return v
+		}, 1},
+		{"full rack of its data, just lost", func() View {
+			g := newTask()
+			g.Rack, g.ReadySince = "r1", now
+			v := View{Workers: idleRacks(2), Groups: []Group{g}}
+			fill(&v, 8, span(8, 15)...)
+			fill(&v, 8, span(0, 4)...)
+			return v
+		}, 0},
+		{"room for one task only", func() View {
+			g := newTask()
+			g.Rack = "r1"
+			v := View{Workers: idleRacks(2), Groups: []Group{g}}
+			fill(&v, 8, span(1, 15)...)
+			fill(&v, 7, 0)
+			return v
+		}, 0},
+		{"a blocked gang", func() View {
+			wide := gangGroup("gang", 6, 8)
+			wide.Priority, wide.Adjacent, wide.ReadySince = 1, false, now.Add(-10*time.Second)
+			v := View{Workers: idleRacks(1), Groups: []Group{wide, newTask()}}
+			fill(&v, 8, 0, 1, 2)
+			return v
+		}, 1},
+		{"room kept for urgent work", func() View {
+			v := View{Workers: idleRacks(1), Groups: []Group{newTask()}, Reserve: 64}
+			fill(&v, 8, span(0, 3)...)
+			fill(&v, 4, 4)
+			return v
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := c.view()
+			v.Now = now
+			if n := len(v.started(Decide(v), "lasting")); n != c.starts {
+				t.Errorf("%d starts, want %d", n, c.starts)
+			}
+		})
+	}
+}
--- a/scheduler/assignment/rank.go
+++ b/scheduler/assignment/rank.go
@@ -59,6 +59,7 @@
 		return cmp.Or(
 			-compareBool(x.Guaranteed, y.Guaranteed),
 			compareGuaranteed(x, y),
+			-compareBool(x.isOverdue(v.Now), y.isOverdue(v.Now)),
 			compareBool(tiers[a] == tierExpired, tiers[b] == tierExpired),
 			cmp.Compare(x.Priority, y.Priority),
 			cmp.Compare(tiers[a], tiers[b]),
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -126,6 +126,7 @@
 			g.Guaranteed = covered
 			g.NeverStarted = !j.started
 			g.Idle = j.placementCount == 0
+			g.Restarts = j.spec.Steps[step].LongRunning && slices.ContainsFunc(waiting, func(i int) bool { return s.Tasks[i].Run > 0 })
 			parts := p.splitByRisk(j, g)
 			for i := range parts {
 				p.applyTrust(j, &parts[i], now)
