control, term, entry: leases end soon after a failed planner's last transaction

Cause: a planner without transactions renews full leases for 8 s, so that they last for up to 14 s on a worker's clock, and the successor counted from its own start.

Change: a lease ends at most 11 s after the latest transaction, on the worker's clock; while transactions succeed it is as long as before. The planner's row holds the time after a transaction by which all leases have ended, those of its own predecessors included; a row without it counts as before, so that versions may mix.

--- a/daisylugd/entry/election.go
+++ b/daisylugd/entry/election.go
@@ -185,13 +185,14 @@
 // previous leader has not changed since formerActive.
 func (e *Server) runTerm(ctx context.Context, elector *term.Elector, previous term.Leader, formerActive time.Time) error {
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	t, err := elector.Acquire(callCtx, previous)
+	former := control.FormerLeases(previous, formerActive, e.settings.Timing)
+	t, err := elector.Acquire(callCtx, previous, e.settings.Timing.LeaseTail(former, time.Now()))
 	cancel()
 	if err != nil {
 		return err
 	}
 	p := control.New(control.Dependencies{
-		Term: t, FormerActive: formerActive, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.router,
+		Term: t, FormerLeasesEnd: former, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.router,
 		Adviser: e.services.Adviser,
 		Config:  e.currentConfig, Evacuations: e.knownEvacuations, LargeServiceWorkers: e.settings.LargeServiceWorkers, Timing: e.settings.Timing,
 		Log: e.log.WithValues("generation", t.Generation()), Metrics: e.metrics,
--- a/daisylugd/entry/path_test.go
+++ b/daisylugd/entry/path_test.go
@@ -188,7 +188,7 @@
 // acquire starts a term of the first instance.
 func (n *relayNetwork) acquire(t *testing.T) *term.Term {
 	t.Helper()
-	m, err := term.New(n.nodes[0].store, n.nodes[0].name, 1).Acquire(t.Context(), term.Leader{})
+	m, err := term.New(n.nodes[0].store, n.nodes[0].name, 1).Acquire(t.Context(), term.Leader{}, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -130,7 +130,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	planningTerm, err := elector.Acquire(ctx, last)
+	timing := Timing{Lease: leaseDuration, StopTimeout: stopTimeout, Heartbeat: heartbeatInterval, Retention: time.Minute}
+	former := FormerLeases(last, time.Now(), timing)
+	planningTerm, err := elector.Acquire(ctx, last, timing.LeaseTail(former, time.Now()))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -145,8 +147,8 @@
 	p := New(Dependencies{
 		Term: planningTerm, Store: f.store, Registry: registry, Dialer: dialer, Adviser: f.adviser, Config: func() *Config { return f.config },
 		Evacuations: f.knownEvacuations,
-		Timing:      Timing{Lease: leaseDuration, StopTimeout: stopTimeout, Heartbeat: heartbeatInterval, Retention: time.Minute},
-		Log:         klog.Background(), Metrics: metrics.NewSet(),
+		Timing:      timing, FormerLeasesEnd: former,
+		Log: klog.Background(), Metrics: metrics.NewSet(),
 	})
 	if err := p.Load(ctx); err != nil {
 		f.t.Fatal(err)
--- a/scheduler/control/leaserecord_test.go
+++ b/scheduler/control/leaserecord_test.go
@@ -7,6 +7,7 @@
 
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/platform/memory"
+	"daisylug.example/scheduler/term"
 )
 
 // TestSuccessorOfResignedPlanner guards against the work of workers that have left, or
@@ -92,25 +93,54 @@
 	}
 }
 
-// TestInheritedLeasesOfFailedPlanner guards against counting the leases of a planner
-// that has failed from its successor's start rather than from its latest transaction.
-func TestInheritedLeasesOfFailedPlanner(t *testing.T) {
-	start := time.Unix(1000, 0)
-	p := &Planner{startedAt: start}
-	p.Timing = Timing{Lease: leaseDuration, StopTimeout: stopTimeout}
-	longest := LeaseRenewalGracePeriod + p.maxLeaseTime()
+// TestLeasesOfFailedPlanner guards against waiting, after a failure of the planner,
+// for leases that it cannot have granted, and against giving up runs under those that
+// it, or a planner before it, may have granted.
+func TestLeasesOfFailedPlanner(t *testing.T) {
+	active := time.Unix(1000, 0)
+	timing := Timing{Lease: leaseDuration, StopTimeout: stopTimeout}
+	own := timing.maxTime(maxUnconfirmedLease)
+	unbounded := LeaseRenewalGracePeriod + timing.maxTime(timing.Lease)
 	for _, tt := range []struct {
-		name         string
-		formerActive time.Time
-		want         time.Time
+		name   string
+		former term.Leader
+		// takeover is the time from the former planner's latest transaction.
+		takeover  time.Duration
+		end, tail time.Duration
 	}{
-		{"not known", time.Time{}, start.Add(longest)},
-		{"row unchanged for 2 s", start.Add(-2 * time.Second), start.Add(longest - 2*time.Second)},
-		{"after the start", start.Add(time.Second), start.Add(longest)},
+		{"no bound stored", term.Leader{}, 0, unbounded, unbounded},
+		{"no bound stored, later", term.Leader{}, 5 * time.Second, unbounded, own},
+		{"bound stored", term.Leader{LeaseTail: own}, 2 * time.Second, own, own},
+		{"longer bound stored", term.Leader{LeaseTail: 20 * time.Second}, 2 * time.Second, 20 * time.Second, 18 * time.Second},
 	} {
-		p.FormerActive = tt.formerActive
-		if got := p.inheritedLeasesEnd("w"); !got.Equal(tt.want) {
-			t.Errorf("%s: %v after the start, want %v", tt.name, got.Sub(start), tt.want.Sub(start))
+		end := FormerLeases(tt.former, active, timing)
+		tail := timing.LeaseTail(end, active.Add(tt.takeover))
+		if got := end.Sub(active); got != tt.end {
+			t.Errorf("%s: leases end after %v, want %v", tt.name, got, tt.end)
+		}
+		if tail < tt.tail || tail > tt.tail+2*time.Millisecond {
+			t.Errorf("%s: tail %v, want %v", tt.name, tail, tt.tail)
+		}
+	}
+}
+
+// TestLeasesEndWithTail guards against leases that last for longer after a transaction
+// than a successor waits, and against short ones while transactions succeed.
+func TestLeasesEndWithTail(t *testing.T) {
+	for _, lease := range []time.Duration{3 * time.Second, leaseDuration, 10 * time.Second} {
+		timing := Timing{Lease: lease, StopTimeout: stopTimeout}
+		tail := timing.LeaseTail(time.Time{}, time.Unix(1000, 0))
+		for since := time.Duration(0); since <= LeaseRenewalGracePeriod; since += 100 * time.Millisecond {
+			granted := timing.grantableLease(since)
+			if end := since + timing.maxTime(granted); end > tail {
+				t.Errorf("lease of %v granted after %v ends after %v, the tail is %v", granted, since, end, tail)
+			}
+			if since <= time.Second && granted < lease {
+				t.Errorf("lease of %v granted after %v, want %v", granted, since, lease)
+			}
+		}
+		if granted := timing.grantableLease(time.Minute); granted != 0 {
+			t.Errorf("lease of %v granted after a minute", granted)
 		}
 	}
 }
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -56,12 +56,12 @@
 // Dependencies are the services that a planner uses.
 type Dependencies struct {
 	Term *term.Term
-	// FormerActive is a time after which no transaction of an earlier planner has
-	// started. The zero value means the start of the term.
-	FormerActive time.Time
-	Store        platform.Store
-	Registry     Registry
-	Dialer       Dialer
+	// FormerLeasesEnd is when all leases of earlier planners have ended. It is zero if
+	// there was none, or if only the start of this term bounds them.
+	FormerLeasesEnd time.Time
+	Store           platform.Store
+	Registry        Registry
+	Dialer          Dialer
 	// Adviser is nil if the platform has none.
 	Adviser platform.Adviser
 	// Config returns the current configuration, or nil.
@@ -78,10 +78,16 @@
 	Metrics             *metrics.Set
 }
 
-// LeaseRenewalGracePeriod is how long leases are still renewed without a
-// transaction that confirms the term. It lets work survive network partitions
-// of the length seen in the deployments.
-const LeaseRenewalGracePeriod = 8 * time.Second
+const (
+	// LeaseRenewalGracePeriod is how long leases are still renewed without a
+	// transaction that confirms the term. It lets work survive network partitions
+	// of the length seen in the deployments.
+	LeaseRenewalGracePeriod = 8 * time.Second
+	// maxUnconfirmedLease is how long after the latest transaction leases last at most,
+	// on the workers' clocks. After a failure of the planner, runs on silent workers
+	// are given up at about that time.
+	maxUnconfirmedLease = 11 * time.Second
+)
 
 const (
 	// registryPollInterval is the time between two reads of the registry.
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -223,11 +223,8 @@
 	return w
 }
 
-// maxLeaseTime returns how long a run may continue under a lease granted now,
-// taking into account a slow clock and the time to stop the run.
-func (p *Planner) maxLeaseTime() time.Duration {
-	return p.Timing.Lease + time.Duration(maxClockDrift*float64(p.Timing.Lease)) + leaseMargin + p.Timing.StopTimeout
-}
+// maxLeaseTime returns how long a run may continue under a lease granted now.
+func (p *Planner) maxLeaseTime() time.Duration { return p.Timing.maxTime(p.Timing.Lease) }
 
 const (
 	// credibleHeartbeats is the number of heartbeat intervals for which an entry of
@@ -333,7 +330,7 @@
 	if w.failedPolls < maxFailedPolls {
 		// An unresponsive worker may get this request late. If every attempt
 		// extended the lease, it would never be certain to have expired.
-		request.LeaseDeadline = w.leaseDeadline(now, p.Timing.Lease)
+		request.LeaseDeadline = w.leaseDeadline(now, p.Timing.grantableLease(p.Term.SinceLastCommit()))
 	}
 	if len(w.placements) > 0 && w.incarnation != 0 && len(w.unstoredEnds) == 0 && w.acknowledgedSequence == w.storedSequence() {
 		request.Wait = longPollTimeout
--- a/scheduler/term/term.go
+++ b/scheduler/term/term.go
@@ -49,8 +49,11 @@
 	Incarnation uint64
 	Generation  uint64
 	// Version changes with each transaction of the term.
-	Version  int64
-	sequence uint64
+	Version int64
+	// LeaseTail is the time after the start of a transaction by which the leases that
+	// were granted until the next one have ended, or 0 if it is not known.
+	LeaseTail time.Duration
+	sequence  uint64
 }
 
 // SupersededError reports that another instance has taken over.
@@ -93,17 +96,18 @@
 		}
 		return Leader{
 			Name: t.GetHolder(), Incarnation: t.GetIncarnation(), Generation: t.GetGeneration(),
-			Version: rows[i].Version, sequence: t.GetSequence(),
+			Version: rows[i].Version, LeaseTail: time.Duration(t.GetTail()) * time.Millisecond, sequence: t.GetSequence(),
 		}, nil
 	}
 	return Leader{}, nil
 }
 
-// Acquire starts a term if the row is unchanged since previous was read. It
+// Acquire starts a term if the row is unchanged since previous was read. Leases end
+// at most leaseTail after the start of a transaction, or at any time if it is 0. It
 // returns *SupersededError if another instance was faster.
-func (e *Elector) Acquire(ctx context.Context, previous Leader) (*Term, error) {
+func (e *Elector) Acquire(ctx context.Context, previous Leader, leaseTail time.Duration) (*Term, error) {
 	t := &Term{elector: e, leader: Leader{
-		Name: e.name, Incarnation: e.incarnation, Generation: previous.Generation + 1, Version: previous.Version,
+		Name: e.name, Incarnation: e.incarnation, Generation: previous.Generation + 1, Version: previous.Version, LeaseTail: leaseTail,
 	}}
 	if err := t.Commit(ctx, nil, nil); err != nil {
 		return nil, err
@@ -143,6 +147,7 @@
 	sequence := t.leader.sequence + 1
 	value, err := proto.Marshal(&schema.Term{
 		Holder: t.leader.Name, Incarnation: t.leader.Incarnation, Generation: t.leader.Generation, Sequence: sequence,
+		Tail: t.leader.LeaseTail.Milliseconds(),
 	})
 	if err != nil {
 		return err
--- a/scheduler/term/term_test.go
+++ b/scheduler/term/term_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	term, err := e.Acquire(t.Context(), leader)
+	term, err := e.Acquire(t.Context(), leader, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -124,7 +124,7 @@
 			view.SetFaults(memory.Faults{ResponseLossRate: 0.5, RequestLossRate: 0.2})
 			e := New(view, string(rune('a'+i)), uint64(i))
 			group.Go(func() {
-				if term, err := e.Acquire(t.Context(), Leader{}); err == nil {
+				if term, err := e.Acquire(t.Context(), Leader{}, 0); err == nil {
 					mu.Lock()
 					winners = append(winners, term)
 					mu.Unlock()
