--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -432,9 +432,10 @@
 
 // mayRelaxPlacement reports whether the tasks should stop waiting for better
 // workers: they have waited for placementTimeout, less than half of the service's
-// capacity is in use unless they are overdue, and they fit twice, on workers that may be unapproved so far.
-// If no run of the job is in progress and its tasks can start one by one, one task
-// has to fit: any more would be stopped again for the expected urgent work.
+// capacity is in use unless they are overdue, and they fit twice, on workers that need
+// not be approved yet. If no run of the job is in progress and its tasks can start one
+// by one, one task has to fit: any more would be stopped again for the expected urgent
+// work.
 func (d *decider) mayRelaxPlacement(g *Group) bool {
 	if d.view.Now.Sub(g.ReadySince) < placementTimeout {
 		return false
--- a/scheduler/control/command.go
+++ b/scheduler/control/command.go
@@ -55,7 +55,7 @@
 		}
 		request := platform.StartRequest{
 			Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(),
-			LeaseDeadline: w.leaseDeadline(now, p.Timing.grantableLease(p.Term.SinceLastCommit())), Payload: pl.job.spec.Payload, Checkpoint: pl.checkpoint, Ticket: pl.ticket,
+			LeaseDeadline: w.leaseDeadline(now, p.grantableLease()), Payload: pl.job.spec.Payload, Checkpoint: pl.checkpoint, Ticket: pl.ticket,
 		}
 		runner := w.runner
 		call := w.trackCall(now)
--- a/scheduler/control/leaserecord.go
+++ b/scheduler/control/leaserecord.go
@@ -108,6 +108,11 @@
 	return max(min(t.Lease, maxUnconfirmedLease-sinceCommit), 0)
 }
 
+// grantableLease returns the length of a lease that may be granted now, or 0.
+func (p *Planner) grantableLease() time.Duration {
+	return p.Timing.grantableLease(p.Term.SinceLastCommit())
+}
+
 // inheritedLeasesEnd returns when the leases of a worker that were granted by
 // earlier planners have expired.
 func (p *Planner) inheritedLeasesEnd(worker string) time.Time {
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -330,7 +330,7 @@
 	if w.failedPolls < maxFailedPolls {
 		// An unresponsive worker may get this request late. If every attempt
 		// extended the lease, it would never be certain to have expired.
-		request.LeaseDeadline = w.leaseDeadline(now, p.Timing.grantableLease(p.Term.SinceLastCommit()))
+		request.LeaseDeadline = w.leaseDeadline(now, p.grantableLease())
 	}
 	if len(w.placements) > 0 && w.incarnation != 0 && len(w.unstoredEnds) == 0 && w.acknowledgedSequence == w.storedSequence() {
 		request.Wait = longPollTimeout
