control: a reservation outlasts the interval between decisions

Change: a reservation lasts for the expected time between two decisions more, at most 0.5 s. Where decisions take 5 ms that is 20 ms.

Result: TestReservationOutlastsInterval without it: expires 400 ms before the decision that may come next; it passes now, as do the tests of control.

--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -12,6 +12,10 @@
 // being stopped: the time to stop them and to notice that they have ended.
 const reservationTime = 1200 * time.Millisecond
 
+// maxReservationExtension is how much longer a reservation lasts at most because
+// decisions take long.
+const maxReservationExtension = 500 * time.Millisecond
+
 // decisionView is the input of one decision and the objects that its indexes
 // refer to.
 type decisionView struct {
@@ -52,6 +56,10 @@
 // renewals.
 const decisionGapFactor = 3
 
+// decisionInterval returns the expected time from the start of one decision to the
+// start of the next while there is always something to decide.
+func (p *Planner) decisionInterval() time.Duration { return (decisionGapFactor + 1) * p.decisionTime }
+
 // panicLogInterval is the time between two log lines about decisions that
 // panic.
 const panicLogInterval = 5 * time.Second
@@ -69,12 +77,8 @@
 	d := assignment.Decide(v.input)
 	p.applyStops(v, d, now)
 	for _, r := range d.Reservations {
-		s := reservation{expiresAt: v.reservationEnd(r, now)}
-		for _, w := range r.Workers {
-			s.workers = append(s.workers, v.workers[w].info.ID)
-		}
 		g := &v.input.Groups[r.Group]
-		v.jobs[r.Group].reservations[stepRef{g.Occurrence, g.Step}] = s
+		v.jobs[r.Group].reservations[stepRef{g.Occurrence, g.Step}] = p.newReservation(v, r, now)
 	}
 	p.queueAdvice(v, d.Advice)
 	p.applyStarts(v, d.Starts)
@@ -83,9 +87,19 @@
 	p.instruments.decide.UpdateDuration(start)
 }
 
-// reservationEnd returns when a reservation of the decision expires. One for which
-// no run is newly stopped ends with the stops that it waits for, and early enough
-// for the group to have other runs stopped.
+// newReservation returns the reservation of a decision. It lasts for an interval of
+// decisions more, in which the room that has become free in time is found.
+func (p *Planner) newReservation(v *decisionView, r assignment.Reservation, now time.Time) reservation {
+	s := reservation{expiresAt: v.reservationEnd(r, now).Add(min(p.decisionInterval(), maxReservationExtension))}
+	for _, w := range r.Workers {
+		s.workers = append(s.workers, v.workers[w].info.ID)
+	}
+	return s
+}
+
+// reservationEnd returns by when the room of a reservation has become free. One for
+// which no run is newly stopped ends with the stops that it waits for, and early
+// enough for the group to have other runs stopped.
 func (v *decisionView) reservationEnd(r assignment.Reservation, now time.Time) time.Time {
 	full := now.Add(reservationTime)
 	if !v.input.Stopping.Sparing || len(r.Victims) == 0 {
--- a/scheduler/control/stopping_test.go
+++ b/scheduler/control/stopping_test.go
@@ -205,6 +205,23 @@
 	}
 }
 
+// TestReservationOutlastsInterval guards against a reservation that expires, so that
+// others take its room, between the end of the last stop and the next decision of a
+// planner with many workers.
+func TestReservationOutlastsInterval(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := &decisionView{workers: []*worker{{}}}
+	v.input.Groups = []assignment.Group{{ReadySince: now}}
+	for _, decisionTime := range []time.Duration{time.Millisecond, 100 * time.Millisecond} {
+		p := &Planner{decisionTime: decisionTime}
+		stopped := now.Add(reservationTime)
+		next := stopped.Add((1 + decisionGapFactor) * decisionTime)
+		if s := p.newReservation(v, assignment.Reservation{Workers: []int{0}}, now); s.expiresAt.Before(next) || len(s.workers) != 1 {
+			t.Errorf("decisions of %v: expires %v after the decision that may come next", decisionTime, s.expiresAt.Sub(next))
+		}
+	}
+}
+
 // TestGuaranteedStartDespiteSilentWorkers guards against guaranteed work that
 // starts late because it waits for one worker after the other that does not answer
 // a stop.
