control: tests of advice without data races

Change: the adviser is set up before the planner starts; the configuration of the test cluster is read and replaced under its lock.

Result: go test -race of control, assignment, term and batch passes.

--- a/scheduler/control/adviceplacing_test.go
+++ b/scheduler/control/adviceplacing_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -159,13 +158,15 @@
 			synctest.Test(t, func(t *testing.T) {
 				f, a, refused := newAdvisedCluster(t, 16)
 				a.delay, a.failing = 150*time.Millisecond, map[string]bool{}
+				for i := 0; failing && i < 60; i += 10 {
+					a.failing[fmt.Sprintf("a%02d", i)] = true
+				}
 				p, stop := f.startPlanner()
 				defer stop()
 				time.Sleep(settleTime)
 				one := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 2000, Accelerators: 1}}
 				for i := range 60 {
 					id := fmt.Sprintf("a%02d", i)
-					a.failing[id] = failing && i%10 == 0
 					f.submit(p, batchJob(id, "advised", "b", "20s", one))
 				}
 				f.submit(p, batchJob("aurgent", "advisedurgent", "a", "20s", one))
@@ -201,10 +202,7 @@
 				f.submit(p, batchJob("b", "later", "b", "5s", whole))
 				time.Sleep(time.Second)
 				f.submit(p, batchJob("a", "advised", "a", "1s", whole))
-				next := *f.config
-				next.Queues = maps.Clone(next.Queues)
-				delete(next.Queues, "advised")
-				f.config = &next
+				f.removeQueue("advised")
 				if change {
 					stop()
 					p, stop = f.startPlanner()
--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -145,7 +146,7 @@
 		dialer, registry = f.foreign, f.foreign
 	}
 	p := New(Dependencies{
-		Term: planningTerm, Store: f.store, Registry: registry, Dialer: dialer, Adviser: f.adviser, Config: func() *Config { return f.config },
+		Term: planningTerm, Store: f.store, Registry: registry, Dialer: dialer, Adviser: f.adviser, Config: f.currentConfig,
 		Evacuations: f.knownEvacuations,
 		Timing:      timing, FormerLeasesEnd: former,
 		Log: klog.Background(), Metrics: metrics.NewSet(),
@@ -164,6 +165,23 @@
 	}
 }
 
+// currentConfig implements Dependencies.Config.
+func (f *testCluster) currentConfig() *Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
+
+// removeQueue replaces the configuration by one without the queue.
+func (f *testCluster) removeQueue(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.config
+	next.Queues = maps.Clone(next.Queues)
+	delete(next.Queues, name)
+	f.config = &next
+}
+
 // knownEvacuations implements Dependencies.Evacuations.
 func (f *testCluster) knownEvacuations() (evacuation.Set, bool) {
 	f.mu.Lock()
