control: a submission waits for the first read of the registry

Cause: until a planner has read the registry it knows only workers with stored placements, none of them listed, and refuses every job as too large, or for want of workers. Before it runs it has no context, so that a cancellation panicked.

Change: a submission waits up to 0.5 s for the first read; a planner that does not run yet answers as unavailable.

Result: TestNewPlannerRefusesNothingUnseen without it: "outcome 3, no worker is known yet"; it passes now, as do the tests of control.

--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -47,6 +47,8 @@
 	adviser    platform.Adviser
 	// router reaches the workers, if it is not nil.
 	router *relay.Router
+	// registryDelay is how long a read of the registry takes.
+	registryDelay time.Duration
 	// foreign lists and reaches the workers, if it is not nil.
 	foreign *foreignEntries
 }
@@ -87,6 +89,7 @@
 
 // Workers implements Registry.
 func (f *testCluster) Workers(context.Context) ([]platform.RunnerInfo, error) {
+	time.Sleep(f.registryDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []platform.RunnerInfo
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -153,6 +153,8 @@
 	resumedAt time.Time
 	// registryReadAt is when the registry was last read.
 	registryReadAt time.Time
+	// registryRead is closed when the registry has been read for the first time.
+	registryRead chan struct{}
 	// adviceRequests queues calls to the adviser.
 	adviceRequests chan adviceRequest
 	wakeups        chan struct{}
@@ -221,6 +223,7 @@
 		speeds:         pace.New(),
 		interference:   interference.New(),
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests),
+		registryRead:   make(chan struct{}),
 		wakeups:        make(chan struct{}, 1),
 		instruments:    newInstruments(d.Metrics),
 	}
--- a/scheduler/control/recovery_test.go
+++ b/scheduler/control/recovery_test.go
@@ -41,3 +41,34 @@
 		}
 	})
 }
+
+// TestNewPlannerRefusesNothingUnseen guards against jobs that are refused, or calls
+// that panic, because a new planner has not read the registry of workers yet or does
+// not run yet.
+func TestNewPlannerRefusesNothingUnseen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 2)
+		p, stop := f.startPlanner()
+		time.Sleep(settleTime)
+		one := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}}
+		f.submit(p, batchJob("runs", "later", "a", "60s", one))
+		time.Sleep(time.Second)
+		stop()
+		f.registryDelay = 200 * time.Millisecond
+		p, stop = f.startPlanner()
+		defer stop()
+		f.submit(p, batchJob("next", "later", "a", "60s", one))
+
+		starting := New(p.Dependencies)
+		if err := starting.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if r := starting.Cancel(t.Context(), "later", "runs"); r.Outcome != OutcomeUnavailable {
+			t.Errorf("cancel before the planner runs: %+v", r)
+		}
+		other := EncodeJob(batchJob("other", "later", "a", "60s", one), f.config.Queues["later"], 0)
+		if r := starting.Submit(t.Context(), other, 0); r.Outcome != OutcomeUnavailable {
+			t.Errorf("submission before the planner runs: %+v", r)
+		}
+	})
+}
--- a/scheduler/control/submission.go
+++ b/scheduler/control/submission.go
@@ -51,6 +51,10 @@
 	maxRetryAfter = 4 * time.Second
 )
 
+// registryTimeout is how long a submission waits for a new planner to read the
+// registry of workers, without which it cannot tell what the workers can hold.
+const registryTimeout = 500 * time.Millisecond
+
 // Submit accepts a job that was received age ago. It returns when the job is
 // stored or ctx ends.
 func (p *Planner) Submit(ctx context.Context, r *schema.Batch, age time.Duration) Response {
@@ -60,6 +64,7 @@
 	if err := spec.Validate(); err != nil {
 		return Response{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
+	p.awaitRegistry(ctx)
 	p.mu.Lock()
 	if p.unreadable[spec.ID] {
 		p.mu.Unlock()
@@ -78,6 +83,23 @@
 	return p.awaitStored(ctx, j, j.stored)
 }
 
+// awaitRegistry returns when the registry of workers has been read in this term, or
+// after registryTimeout.
+func (p *Planner) awaitRegistry(ctx context.Context) {
+	select {
+	case <-p.registryRead:
+		return
+	default:
+	}
+	timer := time.NewTimer(registryTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.registryRead:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // awaitStored returns OutcomeAccepted once the job's changes are stored, or at
 // once if they are. The caller holds the lock, which is released.
 func (p *Planner) awaitStored(ctx context.Context, j *job, stored bool) Response {
@@ -98,17 +120,23 @@
 	return Response{Outcome: OutcomeUnknown, Reason: "the store has not answered"}
 }
 
+// startingResponse is the response of a planner that does not run yet.
+var startingResponse = Response{Outcome: OutcomeUnavailable, Reason: "the planner is starting"}
+
 // checkAdmission returns a refusal if the job cannot be served. The caller
 // holds the lock.
 func (p *Planner) checkAdmission(spec *batch.Job, q Queue) Response {
-	if p.ended {
+	switch {
+	case p.ended:
 		return Response{Outcome: OutcomeUnavailable, Reason: "the term has ended"}
+	case p.ctx == nil:
+		return startingResponse
 	}
 	if !p.commitStart.IsZero() && time.Since(p.commitStart) > stallThreshold {
 		wait := min(max(time.Since(p.commitStart), minRetryAfter), maxRetryAfter)
 		return Response{Outcome: OutcomeRefused, RetryAfter: wait, Reason: "the store does not answer"}
 	}
-	if len(p.workers) == 0 {
+	if len(p.workers) == 0 || p.registryReadAt.IsZero() {
 		return Response{Outcome: OutcomeRefused, RetryAfter: minRetryAfter, Reason: "no worker is known yet"}
 	}
 	for i := range spec.Steps {
@@ -142,6 +170,9 @@
 func (p *Planner) Cancel(ctx context.Context, queue, id string) Response {
 	p.mu.Lock()
 	j, resp := p.findJob(queue, id)
+	if p.ctx == nil {
+		j, resp = nil, startingResponse
+	}
 	if j == nil {
 		p.mu.Unlock()
 		return resp
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -200,6 +200,9 @@
 			delete(p.workers, id)
 		}
 	}
+	if p.registryReadAt.IsZero() {
+		close(p.registryRead)
+	}
 	p.registryReadAt = now
 	p.wake()
 }
