--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -78,17 +78,6 @@
 	Metrics             *metrics.Set
 }
 
-const (
-	// LeaseRenewalGracePeriod is how long leases are still renewed without a
-	// transaction that confirms the term. It lets work survive network partitions
-	// of the length seen in the deployments.
-	LeaseRenewalGracePeriod = 8 * time.Second
-	// maxUnconfirmedLease is how long after the latest transaction leases last at most,
-	// on the workers' clocks. After a failure of the planner, runs on silent workers
-	// are given up at about that time.
-	maxUnconfirmedLease = 11 * time.Second
-)
-
 const (
 	// registryPollInterval is the time between two reads of the registry.
 	// Together with the time of the read it stays well below the 2 s after
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -33,10 +33,6 @@
 	// maxFailedPolls is the number of failed polls after which a worker gets no
 	// new tasks.
 	maxFailedPolls = 2
-	// maxClockDrift is how much slower a worker's clock may run. leaseMargin
-	// covers the error of the estimate of that clock.
-	maxClockDrift = 0.02
-	leaseMargin   = 300 * time.Millisecond
 	// maxReportedEnds is the maximum number of ends in a worker's report.
 	maxReportedEnds = 500
 	// unlistedRetention is how long an unlisted worker without tasks is kept.
@@ -226,9 +222,6 @@
 	return w
 }
 
-// maxLeaseTime returns how long a run may continue under a lease granted now.
-func (p *Planner) maxLeaseTime() time.Duration { return p.Timing.maxTime(p.Timing.Lease) }
-
 const (
 	// credibleHeartbeats is the number of heartbeat intervals for which an entry of
 	// the registry counts as a worker without a response, and minCredibleTime the
