--- a/daisylugd/dispatch/job.go
+++ b/daisylugd/dispatch/job.go
@@ -24,7 +24,7 @@
 	maxListLimit     = 500
 	defaultListLimit = 100
 	maxCancelIDs     = 10000
-	maxWait          = time.Minute
+	maxPollTimeout   = time.Minute
 	// submitTimeout is below the 10 s timeout of the command line client, so
 	// that the client is told that nothing was written instead of timing out.
 	submitTimeout       = 8 * time.Second
@@ -313,7 +313,7 @@
 		return 0, nil
 	}
 	wait, err := time.ParseDuration(text)
-	if err != nil || wait < 0 || wait > maxWait {
+	if err != nil || wait < 0 || wait > maxPollTimeout {
 		return 0, NewFieldError("wait", "must be a duration from 0s to 60s")
 	}
 	return wait, nil
