review: a tenant with a quotation mark in its name crashes every planner

Cause: names of metrics contain the names of teams and queues without escaping, and the metrics library panics on a name that it cannot parse.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -14,12 +14,31 @@
 // can never be done: its steps name images so long that the job does not fit into one
 // row of the platform's store.
 func oversized(w *world) (bool, error) {
+	const (
+		steps       = 60
+		imageLength = 1200
+	)
+	return w.usualTraffic(func() {
+		var all []step
+		for n := range steps {
+			s := step{room: room{cores(1), 1000, 0}, Count: 1, Estimate: 1000, length: time.Second, Image: strings.Repeat("image-name.", imageLength/11)}
+			if n > 0 {
+				s.After = []int{n - 1}
+			}
+			all = append(all, s)
+		}
+		note("script", "disruption: a job that can never be done is sent (poison)")
+		w.clients.submit("poison", slotPlan, all...)
+	})
+}
+
+// usualTraffic plays 20 s of traffic, with the trouble after 6 s, and applies the rule
+// LOST to it.
+func (w *world) usualTraffic(trouble func()) (bool, error) {
 	const (
 		trafficTime = 20 * time.Second
 		interval    = 500 * time.Millisecond
 		troubleAt   = 6 * time.Second
-		steps       = 60
-		imageLength = 1200
 	)
 	quick := step{room: room{cores(7.5), 11000, 1}, Count: 3, Estimate: 2500, length: 2500 * time.Millisecond}
 	first := step{room: room{cores(5.6), 11000, 1}, Count: 4, Estimate: 4000, length: 4 * time.Second}
@@ -34,16 +53,7 @@
 		}
 		if w.trouble && !sent && time.Since(begin) >= troubleAt {
 			sent = true
-			var all []step
-			for n := range steps {
-				s := step{room: room{cores(1), 1000, 0}, Count: 1, Estimate: 1000, length: time.Second, Image: strings.Repeat("image-name.", imageLength/11)}
-				if n > 0 {
-					s.After = []int{n - 1}
-				}
-				all = append(all, s)
-			}
-			note("script", "disruption: a job that can never be done is sent (poison)")
-			w.clients.submit("poison", slotPlan, all...)
+			trouble()
 		}
 		time.Sleep(interval)
 	}
@@ -165,7 +175,7 @@
 		broken = true
 		note("script", "LOST: the job was accepted, nobody has cancelled it, and a GET is answered 410")
 	}
-	status, _, _ := w.clients.call(http.MethodDelete, routeFit, j.id, nil)
+	status, _, _ := w.clients.call(http.MethodDelete, routeFit, j.key, j.id, nil)
 	acknowledged := time.Now()
 	note("client", "DELETE of the job is answered %s", statusText(status))
 	if status != http.StatusOK && status != http.StatusGone {
@@ -261,3 +271,36 @@
 	setBusy(false)
 	return broken, nil
 }
+
+// quoted adds a tenant to the desired state during usual traffic. Its name has
+// quotation marks.
+func quoted(w *world) (bool, error) {
+	const (
+		newKey    = "3hh2b9wu3fexd9dnn2ct"
+		applyTime = 2 * time.Second // bounds.config_apply_ms
+	)
+	broken, err := w.usualTraffic(func() {
+		state := config(60)
+		state["version"] = 9
+		state["tenants"] = append(state["tenants"].([]map[string]any), map[string]any{
+			"name": `Lattia "Oy"`, "api_keys": []string{newKey}, "priority": 1, "guaranteed_gpus": map[string]any{"gpu": 8},
+		})
+		note("script", `disruption: version 9 of the desired state adds the tenant Lattia "Oy" (config_change)`)
+		w.store.put("op", "config", state)
+		time.Sleep(applyTime)
+		w.clients.submitAs(newKey, "new tenant", routeFit, step{room: room{cores(5.6), 11000, 1}, Count: 2, Estimate: 4000, length: 4 * time.Second})
+	})
+	often := 0
+	for _, n := range w.nodes {
+		ended := n.endedBySelf()
+		note("script", "processes of %s that ended by themselves: %d", n.name, ended)
+		if ended >= 3 {
+			often++
+		}
+	}
+	if often >= 2 {
+		broken = true
+		note("script", "Fault: on %d of %d machines processes ended by themselves three times or more", often, len(w.nodes))
+	}
+	return broken, err
+}
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -77,6 +77,7 @@
 	id    string
 	name  string
 	queue queue
+	key   string
 	steps []step
 
 	mu       sync.Mutex
@@ -120,7 +121,7 @@
 }
 
 // call makes one call at a random machine. The status is 0 if there was no answer.
-func (c *clients) call(method string, q queue, id string, body []byte) (status int, answer []byte, wait time.Duration) {
+func (c *clients) call(method string, q queue, key, id string, body []byte) (status int, answer []byte, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	n := c.nodes[rand.IntN(len(c.nodes))]
@@ -149,7 +150,12 @@
 
 // submit hands a job in, in the background, and repeats that as requesters do.
 func (c *clients) submit(name string, q queue, steps ...step) *job {
-	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), name: name, queue: q, steps: steps}
+	return c.submitAs(key, name, q, steps...)
+}
+
+// submitAs is like submit with the key of another tenant.
+func (c *clients) submitAs(key, name string, q queue, steps ...step) *job {
+	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), name: name, queue: q, key: key, steps: steps}
 	c.mu.Lock()
 	c.jobs[j.id] = j
 	c.all = append(c.all, j)
@@ -163,7 +169,7 @@
 	go func() {
 		defer c.busy.Done()
 		for range maxTries {
-			status, _, wait := c.call(http.MethodPost, q, j.id, body)
+			status, _, wait := c.call(http.MethodPost, q, j.key, j.id, body)
 			note("client", "%s (job %s) is answered %s", name, j.id, statusText(status))
 			j.mu.Lock()
 			j.answers = append(j.answers, statusText(status))
@@ -192,7 +198,7 @@
 // a requester and its retries.
 func (c *clients) state(j *job) (string, bool) {
 	for range maxTries {
-		status, answer, _ := c.call(http.MethodGet, j.queue, j.id, nil)
+		status, answer, _ := c.call(http.MethodGet, j.queue, j.key, j.id, nil)
 		var body struct {
 			State string `json:"state"`
 		}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -131,6 +131,7 @@
 	"starved":   starved,
 	"lasting":   lasting,
 	"pending":   pending,
+	"quoted":    quoted,
 	"renamed":   renamed,
 }
 
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,8 +20,15 @@
 	name, zone, host string
 	settings         string
 	log              *os.File
-	process          *os.Process
-	exited           chan struct{}
+	command          []string
+
+	mu      sync.Mutex
+	process *os.Process
+	exited  chan struct{}
+	// signalled is set once the script has sent a signal that ends the process, ended
+	// counts the processes that ended by themselves.
+	signalled bool
+	ended     int
 }
 
 // Ports are the same on all machines.
@@ -32,6 +40,9 @@
 	metricsPort = 7010
 )
 
+// restartDelay is the delay after which the platform restarts a process.
+const restartDelay = 300 * time.Millisecond
+
 func (n *node) frontend() string { return fmt.Sprintf("%s:%d", n.host, frontendPort) }
 
 // freeNetwork returns the first two numbers of loopback addresses that are unused.
@@ -167,17 +178,55 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	n.process, n.exited = cmd.Process, make(chan struct{})
+	exited := make(chan struct{})
+	n.mu.Lock()
+	n.command, n.process, n.exited = command, cmd.Process, exited
+	n.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
+		n.mu.Lock()
+		signalled := n.signalled
+		if !signalled {
+			n.ended++
+		}
+		n.mu.Unlock()
 		note("node", "process of %s has ended: %v", n.name, err)
-		close(n.exited)
+		close(exited)
+		if !signalled {
+			// The platform restarts a process that ends by itself.
+			time.Sleep(restartDelay)
+			n.mu.Lock()
+			signalled = n.signalled
+			n.mu.Unlock()
+			if !signalled {
+				_ = n.start(command)
+			}
+		}
 	}()
 	return nil
 }
 
+// signal ends the process, which is not started again.
+func (n *node) signal(s syscall.Signal) chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.signalled = true
+	if n.process == nil {
+		return nil
+	}
+	_ = n.process.Signal(s)
+	return n.exited
+}
+
+// endedBySelf returns how many processes of the machine ended by themselves.
+func (n *node) endedBySelf() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ended
+}
+
 // terminate sends SIGTERM, as the platform does to stop a machine.
-func (n *node) terminate() { _ = n.process.Signal(syscall.SIGTERM) }
+func (n *node) terminate() { n.signal(syscall.SIGTERM) }
 
 // leads asks the instance itself whether it runs the planner. The scripts use it only
 // to choose the machine that the disruption strikes.
@@ -201,11 +250,9 @@
 
 // end kills the process, if it still runs, and waits for its end.
 func (n *node) end() {
-	if n.process == nil {
-		return
+	if exited := n.signal(syscall.SIGKILL); exited != nil {
+		<-exited
 	}
-	_ = n.process.Signal(syscall.SIGKILL)
-	<-n.exited
 }
 
 // ready asks for the readiness of the machine.
