review: an advised job never starts if advice takes most of its validity

Cause: tickets count from the start of the call to the adviser, and each call names up to 30 workers, however long that takes.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -23,6 +23,20 @@
 	LongRunning bool   `json:"long_running,omitempty"`
 	Image       string `json:"image,omitempty"`
 	length      time.Duration
+	// advised is set if its queue has a recommendation.
+	advised bool
+	// startAt is when the first occurrence is due, interval the time between two.
+	startAt     time.Time
+	interval    time.Duration
+	repetitions int
+}
+
+// due returns when a work unit is due, or zero.
+func (s *step) due(task string) time.Time {
+	if s.startAt.IsZero() {
+		return time.Time{}
+	}
+	return s.startAt.Add(time.Duration(occurrence(task)) * s.interval)
 }
 
 // queue is a route of the desired state.
@@ -160,7 +174,11 @@
 	c.jobs[j.id] = j
 	c.all = append(c.all, j)
 	c.mu.Unlock()
-	body, err := json.Marshal(map[string]any{"specification": "work of " + name, "steps": steps})
+	wire := map[string]any{"specification": "work of " + name, "steps": steps}
+	if first := steps[0]; !first.startAt.IsZero() {
+		wire["start_at_ms"], wire["interval_ms"], wire["repetitions"] = first.startAt.UnixMilli(), first.interval.Milliseconds(), first.repetitions
+	}
+	body, err := json.Marshal(wire)
 	if err != nil {
 		panic(err)
 	}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -24,6 +24,7 @@
 	checkInterval  = 1500 * time.Millisecond
 	startupTime    = 1 * time.Second
 	simulationTick = 10 * time.Millisecond
+	earlyTime      = 250 * time.Millisecond // bounds.early_ms
 )
 
 // room is an amount of resources.
@@ -44,12 +45,17 @@
 	store   *store
 	service string
 	work    func(task string) (step, bool)
+	adviser *adviser
 
 	mu      sync.Mutex
 	workers []*worker
-	// starts counts the starts of each job, finished holds the tasks that ended done.
+	// starts counts the starts of each job, finished holds the tasks that ended done,
+	// noted those of them whose end was taken note of.
 	starts   map[string]int
 	finished map[string]bool
+	noted    map[string]bool
+	// twice and early count the starts that broke the rules TWICE and ORDER.
+	twice, early int
 }
 
 // worker is one life of a worker.
@@ -94,7 +100,7 @@
 }
 
 func newFleet(s *store, service string, work func(string) (step, bool)) *fleet {
-	return &fleet{store: s, service: service, work: work, starts: map[string]int{}, finished: map[string]bool{}}
+	return &fleet{store: s, service: service, work: work, starts: map[string]int{}, finished: map[string]bool{}, noted: map[string]bool{}}
 }
 
 // add starts a worker.
@@ -196,6 +202,7 @@
 	Deadline   int64  `json:"deadline_ms"`
 	Generation uint64 `json:"fencing_token"`
 	LastSeen   int64  `json:"last_seen"`
+	Ticket     string `json:"ticket"`
 	Wait       int64  `json:"wait_ms"`
 }
 
@@ -259,6 +266,8 @@
 		w.reject(rw, "old")
 	case !w.lease.After(now):
 		w.reject(rw, "late")
+	case s.advised && !w.fleet.adviser.valid(c.Ticket, c.Task, w.id):
+		w.reject(rw, "ticket")
 	case !w.used().plus(s.room, 1).fits(w.capacity):
 		w.reject(rw, "room")
 	default:
@@ -267,11 +276,30 @@
 			w.running[c.Task].started = now
 		}
 		w.fleet.starts[jobOf(c.Task)]++
+		w.fleet.checkStart(w, c.Task, s)
 		note("worker", "%s starts run %d of %s", w.id, c.Run, c.Task)
 		reply(rw, http.StatusOK, w.clockBody())
 	}
 }
 
+// checkStart applies TWICE and ORDER to a start. The caller holds the lock.
+func (f *fleet) checkStart(w *worker, task string, s step) {
+	for _, other := range f.workers {
+		if other != w && !other.left && other.running[task] != nil {
+			f.twice++
+			note("script", "TWICE: %s starts on %s while it runs on %s", task, w.id, other.id)
+		}
+	}
+	if f.noted[task] {
+		f.twice++
+		note("script", "TWICE: %s starts after its end was taken note of", task)
+	}
+	if due := s.due(task); time.Now().Add(earlyTime).Before(due) {
+		f.early++
+		note("script", "ORDER: %s starts %v before its time", task, time.Until(due))
+	}
+}
+
 func (w *worker) stop(rw http.ResponseWriter, r *http.Request) {
 	var c order
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
@@ -305,6 +333,11 @@
 		w.reject(rw, "fence")
 		return
 	}
+	for _, e := range w.ends {
+		if e.sequence <= c.LastSeen && e.how == "done" {
+			w.fleet.noted[e.task] = true
+		}
+	}
 	w.ends = slices.DeleteFunc(w.ends, func(e ended) bool { return e.sequence <= c.LastSeen })
 	for len(w.ends) == 0 && ctx.Err() == nil && c.Wait > 0 {
 		changed := w.changed
@@ -446,6 +479,16 @@
 	return n
 }
 
+// occurrence returns the occurrence of a work unit.
+func occurrence(task string) int {
+	parts := strings.Split(task, ".")
+	n, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // usage is what the workers of the fleet hold at one moment.
 type usage struct {
 	capacity, used room
