review: the oversized job stays inside the share of its class

A script also went on when the jobs that it needs were not accepted, and ended its processes late when it was told to end.

Case: the job is one of 21 quick-quotes in 3 s.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -28,7 +28,7 @@
 			all = append(all, s)
 		}
 		note("script", "disruption: a job that can never be done is sent (poison)")
-		w.clients.submit("poison", slotPlan, all...)
+		w.clients.submit("poison", quickQuote, all...)
 	})
 }
 
@@ -37,28 +37,33 @@
 func (w *world) usualTraffic(trouble func()) (bool, error) {
 	const (
 		trafficTime = 20 * time.Second
-		interval    = 500 * time.Millisecond
-		troubleAt   = 6 * time.Second
+		// 20 quick-quotes come in 3 s, the time for which a share of them may be poison.
+		quickInterval = 150 * time.Millisecond
+		routeInterval = 600 * time.Millisecond
+		troubleAt     = 6 * time.Second
 	)
-	quick := step{room: room{cores(7.5), 11000, 1}, Count: 3, Estimate: 2500, length: 2500 * time.Millisecond}
+	quick := step{room: room{cores(7.5), 11000, 1}, Count: 2, Estimate: 2500, length: 2500 * time.Millisecond}
 	first := step{room: room{cores(5.6), 11000, 1}, Count: 4, Estimate: 4000, length: 4 * time.Second}
 	second := first
 	second.After = []int{0}
 	begin, sent := time.Now(), false
 	for i := 0; time.Since(begin) < trafficTime; i++ {
-		if i%2 == 0 {
-			w.clients.submit("quick-quote", quickQuote, quick)
-		} else {
+		w.clients.submit("quick-quote", quickQuote, quick)
+		if i%int(routeInterval/quickInterval) == 0 {
 			w.clients.submit("route-fit", routeFit, first, second)
 		}
-		if w.trouble && !sent && time.Since(begin) >= troubleAt {
+		if !sent && time.Since(begin) >= troubleAt {
 			sent = true
-			trouble()
+			if n := w.clients.accepted(); 2*n < i {
+				return false, fmt.Errorf("only %d jobs were accepted before the disruption", n)
+			}
+			if w.trouble {
+				trouble()
+			}
 		}
-		time.Sleep(interval)
+		time.Sleep(quickInterval)
 	}
-	end := time.Now()
-	broken := w.checkLost(end)
+	broken := w.checkLost(time.Now())
 	w.store.mu.Lock()
 	note("script", "transactions that the store has answered with 400: %d", w.store.rejected)
 	w.store.mu.Unlock()
@@ -86,6 +91,9 @@
 	w.clients.submit("background", routeFit, step{room: large, Count: 20, LongRunning: true, Estimate: 1000})
 	w.clients.busy.Wait()
 	time.Sleep(3 * time.Second)
+	if used := w.fleet.observe().used; used != (room{}).plus(large, 20) {
+		return false, fmt.Errorf("the service is not in use as meant: %+v", used)
+	}
 	if w.trouble {
 		note("script", "disruption: 4 workers are emptied and taken away (scale_in)")
 		for _, v := range w.emptyWorkers(4) {
@@ -96,7 +104,8 @@
 	w.clients.submit("gang", slotPlan, step{room: large, Count: 27, Gang: true, Estimate: 8500, length: 8500 * time.Millisecond})
 	time.Sleep(time.Second)
 	w.clients.submit("small job", routeFit, step{room: room{cores(5.6), 11000, 1}, Count: 4, Estimate: 4000, length: 4 * time.Second})
-	return w.checkLost(time.Now()), nil
+	broken := w.checkLost(time.Now())
+	return broken, w.clients.allAccepted()
 }
 
 // lasting plays a service that is over half in use by work that lasts, beside which an
@@ -246,6 +255,9 @@
 	time.Sleep(max(applyTime, visibleFor) + time.Second)
 	broken := false
 	state, ok := w.clients.state(j)
+	if !ok {
+		return false, errors.New("a GET got no answer")
+	}
 	note("script", "GET of the job is answered %q (%v)", state, ok)
 	if state == "410" {
 		broken = true
@@ -409,5 +421,5 @@
 	w.adviser.mu.Lock()
 	note("script", "calls to the adviser: %d, tickets issued: %d", w.adviser.calls, w.adviser.issued)
 	w.adviser.mu.Unlock()
-	return broken, nil
+	return broken, w.clients.allAccepted()
 }
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -252,3 +252,24 @@
 	err = json.NewDecoder(response.Body).Decode(&body)
 	return body.Pending, err == nil && response.StatusCode == http.StatusOK
 }
+
+// accepted returns the number of accepted jobs.
+func (c *clients) accepted() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, j := range c.all {
+		if j.isAccepted() {
+			n++
+		}
+	}
+	return n
+}
+
+// allAccepted returns an error if a job was not accepted.
+func (c *clients) allAccepted() error {
+	if n := c.accepted(); n < len(c.all) {
+		return fmt.Errorf("only %d of %d jobs were accepted", n, len(c.all))
+	}
+	return nil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -157,11 +157,19 @@
 	if err != nil {
 		return false, err
 	}
-	broken, err = f(w)
-	if err == nil && ctx.Err() != nil {
-		err = ctx.Err()
-	}
-	return broken, err
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			// The time is over, or the script was told to end.
+			w.end()
+			note("script", "could not run: %v", ctx.Err())
+			os.Exit(exitFailed)
+		}
+	}()
+	return f(w)
 }
 
 // main takes the name of a case and the folder of its record.
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -171,37 +171,36 @@
 `)
 }
 
-// start runs the command of the deploy file in the repository's root.
+// start runs the command of the deploy file in the repository's root. It starts nothing
+// once the script has ended the machine's process.
 func (n *node) start(command []string) error {
 	cmd := exec.Command(command[0], command[1:]...)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "DAISYLUG_BOOT=" + n.settings}
 	cmd.Stdout, cmd.Stderr = n.log, n.log
+	exited := make(chan struct{})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.signalled {
+		return nil
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	n.mu.Lock()
 	n.command, n.process, n.exited = command, cmd.Process, exited
-	n.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		n.mu.Lock()
-		signalled := n.signalled
-		if !signalled {
+		bySelf := !n.signalled
+		if bySelf {
 			n.ended++
 		}
 		n.mu.Unlock()
 		note("node", "process of %s has ended: %v", n.name, err)
 		close(exited)
-		if !signalled {
+		if bySelf {
 			// The platform restarts a process that ends by itself.
 			time.Sleep(restartDelay)
-			n.mu.Lock()
-			signalled = n.signalled
-			n.mu.Unlock()
-			if !signalled {
-				_ = n.start(command)
-			}
+			_ = n.start(command)
 		}
 	}()
 	return nil
