assignment: a blocked gang holds room for its expected start only

Cause: reserveForBlocked subtracted all free room in which the gang could place tasks from what later groups see, without regard to whether and when the gang can start. mayRelaxPlacement judged the use of the service by what was left. The gang did not gain either: workers partly in use went on to get small tasks.

Change: a blocked gang has an expected start, as in EASY backfilling: the workers with most free room that become free in time, each with the room that the gang needs there. Nothing is held for a gang that does not fit beside long-running tasks. Work that ends before the start uses the held room; a job that has waited for its own duration, at most 10 s, uses it while under half of the service is in use. Groups that wait for the adviser hold their room in the same way.

--- a/scheduler/assignment/advice.go
+++ b/scheduler/assignment/advice.go
@@ -84,10 +84,10 @@
 	switch {
 	case !isFree || g.ReservedWorkers != nil:
 	case g.Guaranteed:
-		d.reserveSlots(rest, slots)
-	case g.Gang && d.blockedReservations < maxBlockedReservations:
-		d.blockedReservations++
-		d.reserveSlots(rest, slots)
+		d.holdSlots(rest, slots)
+	case g.Gang && d.blockedHolds < maxBlockedHolds:
+		d.blockedHolds++
+		d.holdSlots(rest, slots)
 	}
 }
 
--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -25,6 +25,8 @@
 	SpeedKnown bool
 	// CautiousSpeed is the speed to count on while it is unknown, or 0.
 	CautiousSpeed float64
+	// LongRunning is the part in use by tasks that run until their job is cancelled.
+	LongRunning batch.Resources
 	// AcceptsTasks is set if the worker accepts new tasks.
 	AcceptsTasks bool
 	// Trust limits what may start on a worker on which runs have failed.
@@ -91,6 +93,8 @@
 	// ReservedWorkers are the workers, by position in the view, on which
 	// capacity is being freed for the tasks.
 	ReservedWorkers []int
+	// LongRunning is set if the tasks run until the job is cancelled.
+	LongRunning bool
 	// Restarts is set if a long-running task that ran before waits. It is to be at work
 	// again soon, however full the service is.
 	Restarts bool
@@ -137,7 +141,7 @@
 	Stopping bool
 	// StoppedBefore is set if a run of the job was stopped before.
 	StoppedBefore bool
-	// ExpectedEnd is when the run is expected to end by itself, or zero.
+	// ExpectedEnd is when the run is expected to end by itself, or zero if it does not.
 	ExpectedEnd time.Time
 	Allocations []Allocation
 }
@@ -253,8 +257,17 @@
 	// ignoresStopping excludes the runs that are being stopped already from the
 	// victims.
 	ignoresStopping bool
-	// blockedReservations counts the blocked gangs for which capacity is reserved.
-	blockedReservations int
+	// blockedHolds counts the blocked gangs for which room is held.
+	blockedHolds int
+	// held is the room held for blocked groups, by worker, which is not in free unless
+	// holds are lifted. It is nil if there is none.
+	held []batch.Resources
+	// holdEnds are when the blocked groups are expected to start, zero if unknown.
+	holdEnds []time.Time
+	// beforeLift is free without the held room while holds are lifted, or nil.
+	beforeLift []batch.Resources
+	// releases caches the room that runs are expected to free.
+	releases []release
 	// startedLimited counts the tasks started by this decision on workers whose
 	// trust is limited, by position in the view.
 	startedLimited map[int]int
@@ -316,9 +329,9 @@
 	return nil
 }
 
-// maxBlockedReservations is the number of blocked gangs for which capacity is
-// reserved at a time. More reservations would leave too much capacity idle.
-const maxBlockedReservations = 2
+// maxBlockedHolds is the number of blocked gangs for which room is held at a time.
+// More would leave too much capacity idle.
+const maxBlockedHolds = 2
 
 // placeGroup starts the tasks of a group that fit. A gang starts whole or not at
 // all.
@@ -328,15 +341,17 @@
 		return
 	}
 	d.sparesReserved = d.keepsReserved(g)
+	d.liftHolds(g)
+	defer d.restoreHolds()
 	slots, waiting := d.chooseWorkers(position)
 	if slots == nil {
 		switch {
 		case waiting, g.Guaranteed && d.waitsForTrust(g, d.accepting), d.waitsForAdvice(g, d.accepting):
 		case g.Guaranteed:
 			d.reclaim(position)
-		case g.Gang && d.blockedReservations < maxBlockedReservations && g.tier(d.view.Now) != tierExpired:
-			d.blockedReservations++
-			d.reserveForBlocked(g.approved())
+		case g.Gang && d.blockedHolds < maxBlockedHolds && g.tier(d.view.Now) != tierExpired:
+			d.blockedHolds++
+			d.holdForBlocked(g.approved())
 		}
 		d.requestAdvice(position, nil)
 		return
@@ -441,9 +456,12 @@
 		return false
 	}
 	var free, total batch.Resources
+	slots, anyWorker := 0, g.approved()
 	for _, i := range d.accepting.workers {
 		if w := &d.view.Workers[i]; w.Service == g.Service {
-			free, total = free.Plus(d.free[i]), total.Plus(w.Capacity)
+			unheld := d.unheldFree(i)
+			free, total = free.Plus(unheld), total.Plus(w.Capacity)
+			slots += d.slots(anyWorker, i, unheld)
 		}
 	}
 	tasks, need := len(g.Indexes), g.totalNeed()
@@ -452,7 +470,7 @@
 		tasks, need = 1, g.Need
 	}
 	half := batch.Resources{MilliCPU: total.MilliCPU / 2, MemoryMB: total.MemoryMB / 2, Accelerators: total.Accelerators / 2}
-	return (overdue || half.Fits(free)) && d.freeSlots(g.approved(), d.accepting.workers) >= tasks && need.Times(2).Fits(free)
+	return (overdue || half.Fits(free)) && slots >= tasks && need.Times(2).Fits(free)
 }
 
 // findWorkers returns a worker of the pool for each task of a gang, or for as
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -47,7 +47,7 @@
 		if p := d.plan(g, d.accepting, victimsEnding); p != nil {
 			d.applyPlan(position, p, StopForGuarantee)
 		} else {
-			d.reserveForBlocked(g.approved())
+			d.holdForBlocked(g.approved())
 		}
 		return
 	}
@@ -265,31 +265,6 @@
 	}
 }
 
-// reserveForBlocked reserves the free slots of a blocked group so that work of
-// lower rank does not take them. An adjacent gang gets those of the rack with the
-// most free slots.
-func (d *decider) reserveForBlocked(g *Group) {
-	var best []int
-	maxSlots := 0
-	consider := func(workers []int) {
-		if n := d.freeSlots(g, workers); n > maxSlots && d.fitsWhenEmpty(g, workers) {
-			best, maxSlots = workers, n
-		}
-	}
-	if g.Adjacent {
-		for _, workers := range d.accepting.racks {
-			consider(workers)
-		}
-	} else {
-		consider(d.accepting.workers)
-	}
-	for _, w := range best {
-		for range d.slots(g, w, d.free[w]) {
-			d.free[w] = d.free[w].Minus(g.Need)
-		}
-	}
-}
-
 // reserveSlots reserves slots for a group that waits for stopped runs to end.
 func (d *decider) reserveSlots(g *Group, slots []int) {
 	for _, w := range slots {
--- a/scheduler/assignment/slot.go
+++ b/scheduler/assignment/slot.go
@@ -130,8 +130,10 @@
 	// measureRank is 0 if the group would measure the worker's speed, else 1.
 	measureRank int
 	speedRank   int
-	rackFree    int64
-	slowdown    float64
+	// usesHeld is set if the worker has room that is held for a blocked group.
+	usesHeld bool
+	rackFree int64
+	slowdown float64
 	// fit and secondFit are the free resources that best fit compares: the
 	// accelerators and the processor, or the memory and the accelerators for a group
 	// that needs memory most.
@@ -145,6 +147,8 @@
 		return c.measureRank - o.measureRank
 	case c.speedRank != o.speedRank:
 		return c.speedRank - o.speedRank
+	case c.usesHeld != o.usesHeld:
+		return compareBool(c.usesHeld, o.usesHeld)
 	case c.rackFree != o.rackFree:
 		return cmp.Compare(c.rackFree, o.rackFree)
 	case c.slowdown != o.slowdown:
@@ -192,7 +196,7 @@
 		} else {
 			c.fit, c.secondFit = d.free[c.worker].Accelerators, d.free[c.worker].MilliCPU
 		}
-		c.slowdown = g.slowdown(c.worker)
+		c.slowdown, c.usesHeld = g.slowdown(c.worker), d.usesHeld(c.worker)
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
 	slots := make([]int, 0, len(g.Indexes))
--- a/scheduler/batch/job.go
+++ b/scheduler/batch/job.go
@@ -31,6 +31,13 @@
 	return Resources{r.MilliCPU - other.MilliCPU, r.MemoryMB - other.MemoryMB, r.Accelerators - other.Accelerators}
 }
 
+// Min returns the smaller of each of the resources of r and other, but not less than 0
+// where r has any.
+func (r Resources) Min(other Resources) Resources {
+	least := func(a, b int64) int64 { return min(a, max(b, 0)) }
+	return Resources{least(r.MilliCPU, other.MilliCPU), least(r.MemoryMB, other.MemoryMB), least(r.Accelerators, other.Accelerators)}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.MilliCPU * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -43,7 +43,8 @@
 		v.workerIndex[w.info.ID] = i
 		v.input.Workers = append(v.input.Workers, assignment.Worker{
 			ID: w.info.ID, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), Speed: p.currentSpeed(w, now),
+			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used), LongRunning: p.longRunningUse(w, now),
+			Speed:      p.currentSpeed(w, now),
 			SpeedKnown: p.speeds.Known(w.info.ID), CautiousSpeed: p.cautiousSpeed(w, cautious, now),
 			AcceptsTasks: p.evacuations.known && w.schedulable(now) && !p.dataCentreOf(w).unresponsive,
 			Trust:        p.workerTrust(w, now),
@@ -51,6 +52,18 @@
 	}
 }
 
+// longRunningUse returns the resources of the tasks on a worker that end only if their
+// job is cancelled, without those that are being stopped.
+func (p *Planner) longRunningUse(w *worker, now time.Time) batch.Resources {
+	var used batch.Resources
+	for _, pl := range w.placements {
+		if pl.step.LongRunning && !p.endsByStop(pl, now) {
+			used = used.Plus(pl.step.AllocatedResources())
+		}
+	}
+	return used
+}
+
 // liveByAcceptance returns the live jobs in order of acceptance.
 func (p *Planner) liveByAcceptance() []*job {
 	live := make([]*job, 0, len(p.live))
@@ -126,7 +139,8 @@
 			g.Guaranteed = covered
 			g.NeverStarted = !j.started
 			g.Idle = j.placementCount == 0
-			g.Restarts = j.spec.Steps[step].LongRunning && slices.ContainsFunc(waiting, func(i int) bool { return s.Tasks[i].Run > 0 })
+			g.LongRunning = j.spec.Steps[step].LongRunning
+			g.Restarts = g.LongRunning && slices.ContainsFunc(waiting, func(i int) bool { return s.Tasks[i].Run > 0 })
 			parts := p.splitByRisk(j, g)
 			for i := range parts {
 				p.applyTrust(j, &parts[i], now)
@@ -263,7 +277,7 @@
 			}
 			r.LostWork += p.lostWork(pl, now)
 			r.EndsSoon = p.endsSoon(pl, now)
-			if end := p.expectedEnd(pl, now); end.After(r.ExpectedEnd) {
+			if end := p.expectedEnd(pl, now); !pl.step.LongRunning && end.After(r.ExpectedEnd) {
 				r.ExpectedEnd = end
 			}
 		}
