meter: labels of metrics hold any text

Cause: names of teams, queues, services and data centres were put into the names of metrics as they are, and the metrics library panics on a name that it cannot parse. The instance daemon and the router of quick requests used %q, which a reader of the page cannot parse for control characters and broken UTF-8.

--- a/daisylugd/dispatch/metrics.go
+++ b/daisylugd/dispatch/metrics.go
@@ -1,36 +1,35 @@
 package dispatch
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/rack"
 )
 
 // instanceMetrics holds the metrics of an instance.
 type instanceMetrics struct {
-	set *metrics.Set
+	set *meter.Set
 }
 
-func newInstanceMetrics() *instanceMetrics { return &instanceMetrics{set: metrics.NewSet()} }
+func newInstanceMetrics() *instanceMetrics { return &instanceMetrics{set: meter.NewSet()} }
 
 // countAccepted counts an accepted job.
 func (m *instanceMetrics) countAccepted(team, class string, existing bool) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`daisylug_jobs_accepted_total{team=%q,class=%q,existing="%t"}`, team, class, existing)).Inc()
+	m.set.Counter("daisylug_jobs_accepted_total", meter.L("team", team), meter.L("class", class), meter.L("existing", strconv.FormatBool(existing))).Inc()
 }
 
 // observeWait records the time from acceptance to start.
 func (m *instanceMetrics) observeWait(team, class string, d time.Duration) {
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`daisylug_job_wait_seconds{team=%q,class=%q}`, team, class)).Update(d.Seconds())
+	m.set.Histogram("daisylug_job_wait_seconds", meter.L("team", team), meter.L("class", class)).Update(d.Seconds())
 }
 
 // observeEnded records the run time and outcome of an attempt.
 func (m *instanceMetrics) observeEnded(o rack.Outcome) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`daisylug_attempts_ended_total{team=%q,outcome=%q}`, o.Team, o.Kind)).Inc()
+	m.set.Counter("daisylug_attempts_ended_total", meter.L("team", o.Team), meter.L("outcome", string(o.Kind))).Inc()
 	if !o.Started.IsZero() {
-		m.set.GetOrCreateHistogram(fmt.Sprintf(`daisylug_attempt_run_seconds{team=%q}`, o.Team)).Update(o.Ended.Sub(o.Started).Seconds())
+		m.set.Histogram("daisylug_attempt_run_seconds", meter.L("team", o.Team)).Update(o.Ended.Sub(o.Started).Seconds())
 	}
 }
 
@@ -46,7 +45,7 @@
 	m.setGauge(`daisylug_jobs_waiting`, float64(q.Waiting))
 	m.setGauge(`daisylug_jobs_unpaid`, float64(q.Unpaid))
 	for _, b := range d.balanceStatus() {
-		m.setGauge(fmt.Sprintf(`daisylug_balance_accelerator_seconds{team=%q}`, b.Team), b.Remaining)
+		m.setGauge("daisylug_balance_accelerator_seconds", b.Remaining, meter.L("team", b.Team))
 	}
 	stats := d.ledger.Stats()
 	m.setGauge(`daisylug_table_transactions`, float64(stats.Transactions))
@@ -54,8 +53,8 @@
 	m.setGauge(`daisylug_table_settled`, float64(stats.Resolved))
 }
 
-func (m *instanceMetrics) setGauge(name string, value float64) {
-	m.set.GetOrCreateGauge(name, nil).Set(value)
+func (m *instanceMetrics) setGauge(name string, value float64, labels ...meter.Label) {
+	m.set.Gauge(name, labels...).Set(value)
 }
 
 func boolValue(b bool) float64 {
--- a/daisylugd/dispatch/server.go
+++ b/daisylugd/dispatch/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"daisylug.example/scheduler/meter"
 )
 
 // server returns the HTTP server for clients and operators.
@@ -63,8 +65,8 @@
 
 // instrument wraps a handler with a duration histogram and a failure counter.
 func (d *Daemon) instrument(name string, h khttp.HandlerFunc) khttp.HandlerFunc {
-	total := d.metrics.set.GetOrCreateHistogram(`daisylug_http_seconds{call="` + name + `"}`)
-	failed := d.metrics.set.GetOrCreateCounter(`daisylug_http_failures_total{call="` + name + `"}`)
+	total := d.metrics.set.Histogram("daisylug_http_seconds", meter.L("call", name))
+	failed := d.metrics.set.Counter("daisylug_http_failures_total", meter.L("call", name))
 	return func(ctx khttp.Context) error {
 		begin := time.Now()
 		err := h(ctx)
--- a/daisylugd/entry/config_test.go
+++ b/daisylugd/entry/config_test.go
@@ -6,10 +6,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/control"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
 )
@@ -39,7 +39,7 @@
 		e := New(
 			Settings{Name: "127.0.0.1:1", MaxConfigAge: 1850 * time.Millisecond},
 			Services{Store: NewRelayingStore(memory.NewStore(1), klog.Background()), Source: source},
-			metrics.NewSet(), klog.Background(),
+			meter.NewSet(), klog.Background(),
 		)
 		done := make(chan struct{})
 		go func() {
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -9,13 +9,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/control"
 	"daisylug.example/scheduler/evacuation"
 	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/relay"
 	"daisylug.example/scheduler/uptime"
@@ -87,7 +87,7 @@
 	settings    Settings
 	services    Services
 	log         klog.Logger
-	metrics     *metrics.Set
+	metrics     *meter.Set
 	group       *member.Group
 	incarnation uint64
 	snapshot    atomic.Pointer[Snapshot]
@@ -103,7 +103,7 @@
 }
 
 // New returns an instance that Run starts.
-func New(settings Settings, services Services, set *metrics.Set, log klog.Logger) *Server {
+func New(settings Settings, services Services, set *meter.Set, log klog.Logger) *Server {
 	e := &Server{
 		settings: settings, services: services, log: log, metrics: set,
 		incarnation: uint64(time.Now().UnixMicro()),
--- a/daisylugd/entry/evacuation_test.go
+++ b/daisylugd/entry/evacuation_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/control"
 	"daisylug.example/scheduler/evacuation"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform/memory"
 )
 
@@ -51,7 +51,7 @@
 	e := New(
 		Settings{Name: "127.0.0.1:1", MaxConfigAge: time.Second, EvacuationTimeout: evacuationMargin + 200*time.Millisecond},
 		Services{Store: NewRelayingStore(memory.NewStore(1), klog.Background()), Source: staticSource{&control.Config{Version: 1}}},
-		metrics.NewSet(), klog.Background(),
+		meter.NewSet(), klog.Background(),
 	)
 	if _, known := e.knownEvacuations(); known {
 		t.Error("evacuations known before the first reading")
--- a/daisylugd/entry/path_test.go
+++ b/daisylugd/entry/path_test.go
@@ -11,11 +11,11 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
 	"daisylug.example/scheduler/term"
@@ -83,7 +83,7 @@
 		wg.Wait()
 	})
 	for _, node := range n.nodes {
-		node.store.joinGroup(node, metrics.NewSet())
+		node.store.joinGroup(node, meter.NewSet())
 		wg.Go(func() { _ = node.store.probePath(ctx) })
 		for range 4 {
 			if _, err := node.store.List(t.Context(), platform.Range{Table: "t"}); err != nil {
--- a/daisylugd/entry/store.go
+++ b/daisylugd/entry/store.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/schema"
 )
@@ -77,13 +77,13 @@
 func NewRelayingStore(direct platform.Store, log klog.Logger) *RelayingStore {
 	return &RelayingStore{
 		direct: direct, log: log, impaired: make(chan struct{}, 1), failedUntil: map[string]time.Time{},
-		instruments: newStoreInstruments(metrics.NewSet()),
+		instruments: newStoreInstruments(meter.NewSet()),
 	}
 }
 
 // joinGroup lets other instances relay store calls through this one, and lets
 // this one relay calls through them. A relayed call is never relayed again.
-func (s *RelayingStore) joinGroup(g relayPeers, set *metrics.Set) {
+func (s *RelayingStore) joinGroup(g relayPeers, set *meter.Set) {
 	s.peers, s.instruments = g, newStoreInstruments(set)
 	handle := func(method string, f func(context.Context, *schema.StoreCall) (platform.Page, error)) {
 		g.Handle(method, member.Typed(func(ctx context.Context, _ platform.Instance, m *schema.StoreCall) (proto.Message, error) {
--- a/daisylugd/entry/store_test.go
+++ b/daisylugd/entry/store_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/control"
 	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
 )
@@ -100,7 +100,7 @@
 			Timing: control.Timing{Lease: 6 * time.Second, StopTimeout: time.Second, Retention: time.Minute},
 		}, Services{
 			Store: NewRelayingStore(view, klog.Background()), Registry: s.pool, Dialer: s.pool, Source: source, Peers: tr,
-		}, metrics.NewSet(), klog.Background())
+		}, meter.NewSet(), klog.Background())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/daisylugd/entry/storecall.go
+++ b/daisylugd/entry/storecall.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/schema"
 )
@@ -317,12 +318,12 @@
 	impaired                          *metrics.Gauge
 }
 
-func newStoreInstruments(set *metrics.Set) *storeInstruments {
+func newStoreInstruments(set *meter.Set) *storeInstruments {
 	return &storeInstruments{
-		relayed:  set.GetOrCreateCounter("daisylug_store_relayed_calls_total"),
-		hedges:   set.GetOrCreateCounter("daisylug_store_hedged_calls_total"),
-		probes:   set.GetOrCreateCounter("daisylug_store_probes_total"),
-		refusals: set.GetOrCreateCounter("daisylug_store_refused_relays_total"),
-		impaired: set.GetOrCreateGauge("daisylug_store_path_impaired", nil),
+		relayed:  set.Counter("daisylug_store_relayed_calls_total"),
+		hedges:   set.Counter("daisylug_store_hedged_calls_total"),
+		probes:   set.Counter("daisylug_store_probes_total"),
+		refusals: set.Counter("daisylug_store_refused_relays_total"),
+		impaired: set.Gauge("daisylug_store_path_impaired"),
 	}
 }
--- a/daisylugd/entry/successor.go
+++ b/daisylugd/entry/successor.go
@@ -8,6 +8,7 @@
 
 	"daisylug.example/scheduler/control"
 	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/relay"
 )
@@ -221,7 +222,7 @@
 
 // handOver names the successor, if any, and lets the planner resign.
 func (e *Server) handOver(ctx context.Context, p *control.Planner, generation uint64, d handOver) {
-	e.metrics.GetOrCreateCounter(`daisylug_planner_hand_overs_total{reason="` + d.reason + `"}`).Inc()
+	e.metrics.Counter("daisylug_planner_hand_overs_total", meter.L("reason", d.reason)).Inc()
 	if d.successor == "" {
 		e.log.Info("resigning in favour of a larger instance", "generation", generation)
 		p.Resign()
--- a/daisylugd/entry/writer.go
+++ b/daisylugd/entry/writer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"daisylug.example/scheduler/meter"
 )
 
 const (
@@ -34,10 +36,10 @@
 
 // NewLogWriter returns a LogWriter that writes to w in the background. Close
 // flushes the queue.
-func NewLogWriter(w io.Writer, set *metrics.Set) *LogWriter {
+func NewLogWriter(w io.Writer, set *meter.Set) *LogWriter {
 	l := &LogWriter{
 		lines: make(chan []byte, maxQueuedLines), done: make(chan struct{}), tokens: maxLineBurst, refilledAt: time.Now(),
-		dropped: set.GetOrCreateCounter("daisylug_log_lines_dropped_total"),
+		dropped: set.Counter("daisylug_log_lines_dropped_total"),
 	}
 	go func() {
 		defer close(l.done)
--- a/daisylugd/entry/writer_test.go
+++ b/daisylugd/entry/writer_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/VictoriaMetrics/metrics"
+	"daisylug.example/scheduler/meter"
 )
 
 // blockedWriter blocks each Write until release is closed.
@@ -19,7 +19,7 @@
 
 func TestLogNeverBlocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		set := metrics.NewSet()
+		set := meter.NewSet()
 		s := blockedWriter{make(chan struct{})}
 		l := NewLogWriter(s, set)
 		for range 2 * maxQueuedLines {
@@ -38,7 +38,7 @@
 func TestLogIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
-		l := NewLogWriter(&out, metrics.NewSet())
+		l := NewLogWriter(&out, meter.NewSet())
 		for range 3 * maxLineBurst {
 			_, _ = l.Write([]byte("line\n"))
 			synctest.Wait()
--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/evacuation"
 	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
 	"daisylug.example/scheduler/relay"
@@ -152,7 +152,7 @@
 		Term: planningTerm, Store: f.store, Registry: registry, Dialer: dialer, Adviser: f.adviser, Config: f.currentConfig,
 		Evacuations: f.knownEvacuations,
 		Timing:      timing, FormerLeasesEnd: former,
-		Log: klog.Background(), Metrics: metrics.NewSet(),
+		Log: klog.Background(), Metrics: meter.NewSet(),
 	})
 	if err := p.Load(ctx); err != nil {
 		f.t.Fatal(err)
--- a/scheduler/control/interference.go
+++ b/scheduler/control/interference.go
@@ -207,11 +207,11 @@
 
 // interferencePairs sets the number of known pairs.
 func (m *instruments) interferencePairs(n int) {
-	m.set.GetOrCreateGauge("daisylug_planner_interference_pairs", nil).Set(float64(n))
+	m.set.Gauge("daisylug_planner_interference_pairs").Set(float64(n))
 }
 
 // separatedGroups returns the counter of the groups that were kept apart from their
 // neighbours.
 func (m *instruments) separatedGroups() *metrics.Counter {
-	return m.set.GetOrCreateCounter("daisylug_planner_separated_groups_total")
+	return m.set.Counter("daisylug_planner_separated_groups_total")
 }
--- a/scheduler/control/interference_test.go
+++ b/scheduler/control/interference_test.go
@@ -8,12 +8,12 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 
 	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/interference"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/schema"
 )
 
@@ -280,7 +280,7 @@
 // TestStoredPairsFitIntoTheRow guards against long names of many pairs that keep the
 // row of learned state from being stored.
 func TestStoredPairsFitIntoTheRow(t *testing.T) {
-	p := New(Dependencies{Metrics: metrics.NewSet()})
+	p := New(Dependencies{Metrics: meter.NewSet()})
 	for i := range 40 {
 		kind := interference.NewKind("queue", fmt.Sprint(strings.Repeat("registry/", 20), i), batch.Resources{Accelerators: 1})
 		p.interference.Restore(interference.Pair{Kind: kind, Neighbour: kind, Slowdown: 0.2 + float64(i)/100, Variance: 0.001, Runs: 20})
@@ -300,7 +300,7 @@
 // TestPairThatDoesNotFitIsSkipped guards against one pair with long names that keeps
 // all smaller ones from being stored.
 func TestPairThatDoesNotFitIsSkipped(t *testing.T) {
-	p := New(Dependencies{Metrics: metrics.NewSet()})
+	p := New(Dependencies{Metrics: meter.NewSet()})
 	for i, image := range []string{"small", strings.Repeat("x", maxInterferenceBytes)} {
 		kind := interferingKind(image)
 		p.interference.Restore(interference.Pair{Kind: kind, Neighbour: kind, Slowdown: 0.2 + float64(i), Variance: 0.001, Runs: 20})
@@ -313,7 +313,7 @@
 // TestLearnedStateIsTruncatedToTheRow guards against a row that is not stored at all
 // because pairs, run times and the speeds of many workers exceed it together.
 func TestLearnedStateIsTruncatedToTheRow(t *testing.T) {
-	p := New(Dependencies{Metrics: metrics.NewSet()})
+	p := New(Dependencies{Metrics: meter.NewSet()})
 	p.learned.inheritedSpeeds = map[string]*schema.WorkerSpeed{}
 	for i := range 4000 {
 		id := fmt.Sprintf("worker-%05d", i)
@@ -344,7 +344,7 @@
 func BenchmarkApplyInterference(b *testing.B) {
 	for _, known := range []bool{false, true} {
 		b.Run(fmt.Sprint("known ", known), func(b *testing.B) {
-			p := New(Dependencies{Metrics: metrics.NewSet()})
+			p := New(Dependencies{Metrics: meter.NewSet()})
 			if known {
 				restorePair(p)
 			}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -10,13 +10,13 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/evacuation"
 	"daisylug.example/scheduler/interference"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/pace"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/queue"
@@ -75,7 +75,7 @@
 	LargeServiceWorkers int
 	Timing              Timing
 	Log                 klog.Logger
-	Metrics             *metrics.Set
+	Metrics             *meter.Set
 }
 
 const (
--- a/scheduler/control/speed_test.go
+++ b/scheduler/control/speed_test.go
@@ -7,9 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/pace"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/queue"
@@ -70,7 +69,7 @@
 		{"cold worker", stated, 8, 0, 700 * time.Millisecond, false},
 	}
 	for _, tt := range tests {
-		p := &Planner{estimator: queue.NewEstimator(), speeds: pace.New(), workers: map[string]*worker{}, instruments: newInstruments(metrics.NewSet())}
+		p := &Planner{estimator: queue.NewEstimator(), speeds: pace.New(), workers: map[string]*worker{}, instruments: newInstruments(meter.NewSet())}
 		p.Timing = tt.timing
 		for range tt.samples {
 			p.estimator.Observe("", "q", 2*time.Second)
--- a/scheduler/control/stopping_test.go
+++ b/scheduler/control/stopping_test.go
@@ -10,6 +10,7 @@
 
 	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/pace"
 	"daisylug.example/scheduler/platform/memory"
 	"daisylug.example/scheduler/queue"
@@ -121,7 +122,7 @@
 				t.Errorf("job %s: %d starts, want 5: one of its 4 runs is stopped once", id, n)
 			}
 		}
-		if n := p.instruments.set.GetOrCreateCounter(`daisylug_planner_stops_total{reason="guarantee"}`).Get(); n != 2 {
+		if n := p.instruments.set.Counter("daisylug_planner_stops_total", meter.L("reason", "guarantee")).Get(); n != 2 {
 			t.Errorf("%d stops counted, want 2", n)
 		}
 	})
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -7,6 +7,7 @@
 
 	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/schema"
 	"daisylug.example/scheduler/trust"
 )
@@ -384,7 +385,7 @@
 // setTrustLevels sets the number of workers at each level below the highest.
 func (m *instruments) setTrustLevels(n map[trust.Level]int) {
 	for _, level := range []trust.Level{trust.LevelExcluded, trust.LevelTrial, trust.LevelRecovering} {
-		m.set.GetOrCreateGauge(`daisylug_planner_untrusted_workers{level="`+string(level)+`"}`, nil).Set(float64(n[level]))
+		m.set.Gauge("daisylug_planner_untrusted_workers", meter.L("level", string(level))).Set(float64(n[level]))
 	}
 }
 
@@ -394,5 +395,5 @@
 	if taskAtFault {
 		blamed = "task"
 	}
-	m.set.GetOrCreateCounter(`daisylug_planner_run_failures_total{blamed="` + blamed + `"}`).Inc()
+	m.set.Counter("daisylug_planner_run_failures_total", meter.L("blamed", blamed)).Inc()
 }
--- a/scheduler/quote/metrics.go
+++ b/scheduler/quote/metrics.go
@@ -1,10 +1,11 @@
 package quote
 
 import (
-	"fmt"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"daisylug.example/scheduler/meter"
 )
 
 // histograms holds the histograms of one class and team.
@@ -22,7 +23,7 @@
 // routerMetrics holds the router's metrics. The histograms are cached by class
 // and team to avoid formatting their names for each request.
 type routerMetrics struct {
-	set              *metrics.Set
+	set              *meter.Set
 	attempts         *metrics.Counter
 	retries          *metrics.Counter
 	ejections        *metrics.Counter
@@ -33,17 +34,17 @@
 	cache map[histogramKey]*histograms
 }
 
-func newRouterMetrics(set *metrics.Set) *routerMetrics {
+func newRouterMetrics(set *meter.Set) *routerMetrics {
 	if set == nil {
-		set = metrics.NewSet()
+		set = meter.NewSet()
 	}
 	return &routerMetrics{
 		set:              set,
-		attempts:         set.GetOrCreateCounter("quote_attempts_total"),
-		retries:          set.GetOrCreateCounter("quote_retries_total"),
-		ejections:        set.GetOrCreateCounter("quote_ejections_total"),
-		forwards:         set.GetOrCreateCounter("quote_forwards_total"),
-		claimsUnfinished: set.GetOrCreateCounter("quote_claims_unfinished_total"),
+		attempts:         set.Counter("quote_attempts_total"),
+		retries:          set.Counter("quote_retries_total"),
+		ejections:        set.Counter("quote_ejections_total"),
+		forwards:         set.Counter("quote_forwards_total"),
+		claimsUnfinished: set.Counter("quote_claims_unfinished_total"),
 		cache:            map[histogramKey]*histograms{},
 	}
 }
@@ -57,7 +58,7 @@
 		return cached
 	}
 	histogram := func(phase string) *metrics.Histogram {
-		return m.set.GetOrCreateHistogram(fmt.Sprintf("quote_%s_seconds{class=%q,team=%q}", phase, class, team))
+		return m.set.Histogram("quote_"+phase+"_seconds", meter.L("class", string(class)), meter.L("team", team))
 	}
 	cached = &histograms{wait: histogram("wait"), service: histogram("service"), total: histogram("total")}
 	m.mu.Lock()
@@ -68,5 +69,5 @@
 
 // countRefusal counts a refusal by reason and execution state.
 func (m *routerMetrics) countRefusal(e *RefusedError) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("quote_refusals_total{reason=%q,ran=%q}", e.Reason, e.Execution)).Inc()
+	m.set.Counter("quote_refusals_total", meter.L("reason", string(e.Reason)), meter.L("ran", string(e.Execution))).Inc()
 }
--- a/scheduler/quote/options.go
+++ b/scheduler/quote/options.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 )
 
@@ -39,7 +38,7 @@
 	// Forwarder may be nil; requests then stay in the data centre.
 	Forwarder Forwarder
 	// Metrics receives the router's metrics; nil means a private set.
-	Metrics *metrics.Set
+	Metrics *meter.Set
 }
 
 // Options configure a router. The zero value of a field means its default.
--- a/scheduler/quote/router_test.go
+++ b/scheduler/quote/router_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"daisylug.example/scheduler/meter"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
 )
@@ -281,7 +281,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(1, 1, 1)
 		s.teams = []Team{{Name: "t0"}}
-		set := metrics.NewSet()
+		set := meter.NewSet()
 		r := New(Dependencies{Self: self(0), Fleet: s, View: s, Metrics: set}, Options{})
 		_, _ = r.Do(context.Background(), quick("q", 0.1))
 		_, _ = r.Do(context.Background(), Request{})
