control: a panic of the planner ends neither the process nor other jobs

Cause: the planner's goroutines recovered from nothing, sections under its lock released it only if they returned, and stored jobs lead the next planner to the same panic.

Change: all sections under the lock run through Planner.locked, which releases it, counts the panic and isolates the job that was being processed. It is not live for a second, then it is tried again and its placements are completed from its progress. Ends of its runs are not acknowledged meanwhile. Goroutines recover; loops end the term at worst. Progress.Step no longer panics on occurrences beyond the last.

--- a/scheduler/batch/progress.go
+++ b/scheduler/batch/progress.go
@@ -106,8 +106,11 @@
 
 // Step returns the progress of a step of an occurrence, or nil.
 func (p *Progress) Step(j *Job, occurrence, step int) *StepProgress {
+	if occurrence < 0 || occurrence >= len(p.Steps) || step < 0 || step >= len(j.Steps) {
+		return nil
+	}
 	i := occurrence*len(j.Steps) + step
-	if occurrence < 0 || step < 0 || step >= len(j.Steps) || i >= len(p.Steps) {
+	if i >= len(p.Steps) {
 		return nil
 	}
 	return &p.Steps[i]
--- a/scheduler/control/advice.go
+++ b/scheduler/control/advice.go
@@ -6,6 +6,7 @@
 
 	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
 )
 
 const (
@@ -151,9 +152,8 @@
 // requestAdvice makes one call, unless the job has ended meanwhile. It returns
 // false if the call failed.
 func (p *Planner) requestAdvice(ctx context.Context, request adviceRequest) bool {
-	p.mu.Lock()
-	ended := request.job.progress.State.Final()
-	p.mu.Unlock()
+	ended := true
+	p.locked("advice", func() { ended = request.job.progress.State.Final() })
 	if ended {
 		return true
 	}
@@ -165,15 +165,25 @@
 	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
 	answer, err := p.Adviser.Advise(callCtx, request.step, names)
 	cancel()
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	ok := false
+	p.locked("response of the adviser", func() { ok = p.applyAdviceResponse(request, answer, start, err) })
+	if ok {
+		p.wake()
+	}
+	return ok
+}
+
+// applyAdviceResponse records the response to a call that began at start, and returns
+// false if the call failed. The caller holds the lock.
+func (p *Planner) applyAdviceResponse(request adviceRequest, answer platform.Advice, start time.Time, err error) bool {
+	p.processing = request.job
 	a := request.job.advice[stepRef{request.step.Occurrence, request.step.Step}]
 	a.pending = false
 	if err != nil {
 		delay := min(adviceRetryDelay<<min(a.failures, maxAdviceBackoffSteps), maxAdviceRetryDelay)
 		a.failures++
 		a.retryAt = time.Now().Add(delay)
-		p.Log.Info("adviser call failed", "job", request.step.Job, "step", request.step.Step, "workers", len(names), "failures", a.failures,
+		p.Log.Info("adviser call failed", "job", request.step.Job, "step", request.step.Step, "workers", len(request.workers), "failures", a.failures,
 			"retry", delay, "error", err)
 		return false
 	}
@@ -185,9 +195,8 @@
 			a.tickets[w.worker] = adviserTicket{value, w.incarnation, start.Add(answer.Validity)}
 		}
 	}
-	p.Log.Info("adviser responded", "job", request.step.Job, "step", request.step.Step, "workers", len(names), "approved", len(answer.Tickets),
+	p.Log.Info("adviser responded", "job", request.step.Job, "step", request.step.Step, "workers", len(request.workers), "approved", len(answer.Tickets),
 		"took", time.Since(start))
-	p.wake()
 	return true
 }
 
--- a/scheduler/control/budget.go
+++ b/scheduler/control/budget.go
@@ -17,7 +17,7 @@
 // lock.
 func (p *Planner) newDisruptionBudget() disruptionBudget {
 	budget := disruptionBudget{}
-	for _, j := range p.live {
+	for j := range p.liveJobs() {
 		for step := range j.spec.Steps {
 			s := &j.spec.Steps[step]
 			if !s.LongRunning || s.MaxUnavailable == 0 {
--- a/scheduler/control/command.go
+++ b/scheduler/control/command.go
@@ -23,51 +23,71 @@
 	maxPromptAttempts = 3
 )
 
+// startCall is the next attempt to start a run.
+type startCall struct {
+	runner  platform.Runner
+	request platform.StartRequest
+	// tracked identifies the call in the worker's call tracker.
+	tracked int
+	// done is set if no further attempt is needed, postponed if there is nothing to
+	// send yet.
+	done, postponed bool
+}
+
 // startUntilAnswered starts a stored run and repeats the start request until
 // its outcome is known.
 func (p *Planner) startUntilAnswered(pl *placement) {
 	for try := 0; ; try++ {
-		p.mu.Lock()
+		c := p.prepareStart(pl, try)
+		if c.done {
+			return
+		}
+		if !c.postponed {
+			ctx, cancel := context.WithTimeout(p.ctx, commandTimeout)
+			clock, err := c.runner.Start(ctx, c.request)
+			cancel()
+			if p.handleStartResponse(pl, c.tracked, clock, err) {
+				return
+			}
+		}
+		if !p.waitForRetry(try) {
+			return
+		}
+	}
+}
+
+// prepareStart returns the next attempt to start a run.
+func (p *Planner) prepareStart(pl *placement, try int) startCall {
+	c := startCall{postponed: true}
+	p.locked("start of a run", func() {
+		p.processing = pl.job
 		if pl.phase != phaseStarting || pl.worker.placements[pl.id] != pl || p.ended {
-			p.mu.Unlock()
+			c.done = true
 			return
 		}
 		w := pl.worker
 		now := time.Now()
-		if w.failedPolls >= maxFailedPolls && try > 0 || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod {
+		if w.failedPolls >= maxFailedPolls && try > 0 || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod || p.isIsolated(pl.job) {
 			// The next successful poll shows whether the worker has the run.
 			// After a long time without a transaction another planner may be
 			// active.
-			p.mu.Unlock()
-			if !p.waitForRetry(try) {
-				return
-			}
-			continue
+			return
 		}
 		if err := p.checkStart(w); err != nil {
 			p.withdrawStart(pl, err)
-			p.mu.Unlock()
+			c.done = true
 			return
 		}
 		p.recordLease(w, now)
 		if !pl.sent {
 			pl.sent, pl.startedAt = true, now
 		}
-		request := platform.StartRequest{
+		c = startCall{runner: w.runner, tracked: w.trackCall(now), request: platform.StartRequest{
 			Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(),
 			LeaseDeadline: w.leaseDeadline(now, p.grantableLease()), Payload: pl.job.spec.Payload, Checkpoint: pl.checkpoint, Ticket: pl.ticket,
-		}
-		runner := w.runner
-		call := w.trackCall(now)
-		p.mu.Unlock()
-
-		ctx, cancel := context.WithTimeout(p.ctx, commandTimeout)
-		clock, err := runner.Start(ctx, request)
-		cancel()
-		if p.handleStartResponse(pl, call, clock, err) || !p.waitForRetry(try) {
-			return
-		}
-	}
+		}}
+	})
+	return c
 }
 
 // waitForRetry waits before the next attempt of a command. It returns false if
@@ -88,8 +108,16 @@
 // handleStartResponse processes the response to a start request and reports
 // whether the outcome is known.
 func (p *Planner) handleStartResponse(pl *placement, call int, clock time.Duration, err error) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	known := false
+	p.locked("response to a start", func() {
+		p.processing = pl.job
+		known = p.applyStartResponse(pl, call, clock, err)
+	})
+	return known
+}
+
+// applyStartResponse is handleStartResponse for callers that hold the lock.
+func (p *Planner) applyStartResponse(pl *placement, call int, clock time.Duration, err error) bool {
 	w := pl.worker
 	p.recordResponse(w, call, err)
 	if w.placements[pl.id] != pl {
@@ -199,10 +227,7 @@
 	}
 	pl.phase, pl.stoppedAt = phaseStopping, time.Now()
 	pl.respondedAt = time.Time{}
-	p.group.Go(func() error {
-		p.stopUntilAnswered(pl)
-		return nil
-	})
+	p.spawn("stop of a run", func() { p.stopUntilAnswered(pl) })
 }
 
 // stopGang stops the other members of a gang. The caller holds the lock.
@@ -233,13 +258,15 @@
 func (p *Planner) stopUntilAnswered(pl *placement) {
 	w := pl.worker
 	for try := 0; ; try++ {
-		p.mu.Lock()
-		if w.placements[pl.id] != pl || p.ended {
-			p.mu.Unlock()
+		var runner platform.Runner
+		gone, expired := false, true
+		p.locked("stop of a run", func() {
+			gone = w.placements[pl.id] != pl || p.ended
+			runner, expired = w.runner, p.Term.SinceLastCommit() > LeaseRenewalGracePeriod
+		})
+		if gone {
 			return
 		}
-		runner, expired := w.runner, p.Term.SinceLastCommit() > LeaseRenewalGracePeriod
-		p.mu.Unlock()
 		if expired {
 			// Another planner may be active.
 			if !p.waitForRetry(maxPromptAttempts) {
@@ -249,9 +276,7 @@
 		}
 		err := p.sendStop(runner, platform.Run{Task: pl.id, Number: pl.run})
 		if err == nil {
-			p.mu.Lock()
-			pl.respondedAt = time.Now()
-			p.mu.Unlock()
+			p.locked("stop of a run", func() { pl.respondedAt = time.Now() })
 			w.requestPoll()
 			return
 		}
@@ -264,9 +289,8 @@
 // stopUnknown sends one stop request for a run that belongs to no placement. If
 // it fails, the next poll reports the run again.
 func (p *Planner) stopUnknown(w *worker, r platform.Run) {
-	p.mu.Lock()
-	runner := w.runner
-	p.mu.Unlock()
+	var runner platform.Runner
+	p.locked("stop of a run", func() { runner = w.runner })
 	if err := p.sendStop(runner, r); err != nil {
 		p.Log.Info("unknown run not stopped", "task", r.Task, "run", r.Number, "worker", w.info.ID, "error", err)
 	}
--- a/scheduler/control/decision.go
+++ b/scheduler/control/decision.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"fmt"
-	"runtime/debug"
 	"time"
 
 	"daisylug.example/scheduler/assignment"
@@ -37,18 +35,9 @@
 		time.AfterFunc(wait, p.wake)
 		return
 	}
-	defer func() {
-		p.lastDecision = time.Now()
-		p.decisionTime = p.lastDecision.Sub(now)
-		if cause := recover(); cause != nil {
-			p.instruments.panics.Inc()
-			if p.instruments.panics.Get() == 1 || now.Sub(p.lastPanicLog) > panicLogInterval {
-				p.lastPanicLog = now
-				p.Log.Error(&PanicError{fmt.Sprint(cause)}, "decision panicked", "stack", string(debug.Stack()))
-			}
-		}
-	}()
-	p.decide(now)
+	p.contain(nil, "decision", func() { p.decide(now) })
+	p.lastDecision = time.Now()
+	p.decisionTime = p.lastDecision.Sub(now)
 }
 
 // decisionGapFactor is the multiple of a decision's duration that passes before
@@ -60,15 +49,6 @@
 // start of the next while there is always something to decide.
 func (p *Planner) decisionInterval() time.Duration { return (decisionGapFactor + 1) * p.decisionTime }
 
-// panicLogInterval is the time between two log lines about decisions that
-// panic.
-const panicLogInterval = 5 * time.Second
-
-// PanicError reports a panic of a decision.
-type PanicError struct{ Cause string }
-
-func (e *PanicError) Error() string { return "panic: " + e.Cause }
-
 // decide places waiting tasks and stops runs for guaranteed jobs. The caller
 // holds the lock.
 func (p *Planner) decide(now time.Time) {
--- a/scheduler/control/demand.go
+++ b/scheduler/control/demand.go
@@ -151,7 +151,7 @@
 func (p *Planner) urgentNeed(now time.Time) urgentNeed {
 	n := urgentNeed{gangs: map[string]gangNeed{}}
 	capacity := map[string]batch.Resources{}
-	for _, j := range p.live {
+	for j := range p.liveJobs() {
 		if j.queue.Priority != 0 || j.spec.Occurrences != 0 {
 			continue
 		}
--- a/scheduler/control/end.go
+++ b/scheduler/control/end.go
@@ -110,9 +110,11 @@
 // are stored. The caller holds the lock.
 func (p *Planner) acknowledgeWhenStored(w *worker, sequence int64, j *job) {
 	incarnation := w.incarnation
-	w.unstoredEnds[sequence] = struct{}{}
+	w.endAttempts++
+	attempt := w.endAttempts
+	w.unstoredEnds[sequence] = attempt
 	p.markDirty(j, func() {
-		if w.incarnation == incarnation {
+		if w.incarnation == incarnation && w.unstoredEnds[sequence] == attempt {
 			delete(w.unstoredEnds, sequence)
 			w.requestPoll()
 		}
--- a/scheduler/control/evacuation.go
+++ b/scheduler/control/evacuation.go
@@ -77,7 +77,7 @@
 		}
 	}
 	state.since = since
-	for _, j := range p.live {
+	for j := range p.liveJobs() {
 		for ref, r := range j.reservations {
 			if slices.ContainsFunc(r.workers, func(id string) bool {
 				w := p.workers[id]
@@ -235,7 +235,7 @@
 			spare = spare.Plus(w.info.Capacity.Minus(w.used))
 		}
 	}
-	for _, j := range p.live {
+	for j := range p.liveJobs() {
 		if p.service(j) == service {
 			spare = spare.Minus(j.waitingNeed())
 		}
--- a/scheduler/control/loadrefusal.go
+++ b/scheduler/control/loadrefusal.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -27,8 +26,7 @@
 func (p *Planner) checkLoad(spec *batch.Job, q Queue) (resp Response) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			p.instruments.panics.Inc()
-			p.Log.Error(&PanicError{fmt.Sprint(cause)}, "forecast of a job panicked", "job", spec.ID, "queue", spec.Queue)
+			p.handlePanic("forecast of job "+spec.ID, cause)
 			resp = Response{}
 		}
 	}()
--- a/scheduler/control/ordering.go
+++ b/scheduler/control/ordering.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"fmt"
-	"runtime/debug"
 	"time"
 
 	"daisylug.example/scheduler/assignment"
@@ -35,7 +33,7 @@
 func (p *Planner) applyShares(v *decisionView) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			p.logLoadPanic(v.input.Now, cause)
+			p.handlePanic("order under overload", cause)
 			for i := range v.input.Groups {
 				v.input.Groups[i].Share = 0
 			}
@@ -55,15 +53,6 @@
 	}
 }
 
-// logLoadPanic counts a panic and logs it unless another was logged recently.
-func (p *Planner) logLoadPanic(now time.Time, cause any) {
-	p.instruments.panics.Inc()
-	if p.instruments.panics.Get() == 1 || now.Sub(p.lastPanicLog) > panicLogInterval {
-		p.lastPanicLog = now
-		p.Log.Error(&PanicError{fmt.Sprint(cause)}, "order under overload panicked", "stack", string(debug.Stack()))
-	}
-}
-
 // measurement collects the load of a service.
 type measurement struct {
 	// free is what workers that accept tasks have free; capacity is that of all
@@ -231,7 +220,7 @@
 // sizeClasses returns the size classes of the live jobs of a service, by priority.
 func (p *Planner) sizeClasses(service string) map[int]overload.Classes {
 	sizes := map[int][]float64{}
-	for _, j := range p.live {
+	for j := range p.liveJobs() {
 		if p.service(j) == service {
 			sizes[j.queue.Priority] = append(sizes[j.queue.Priority], j.size())
 		}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -136,8 +136,13 @@
 	// took.
 	lastDecision time.Time
 	decisionTime time.Duration
-	// lastPanicLog is when a panic of a decision was last logged.
+	// lastPanicLog is when a panic was last logged.
 	lastPanicLog time.Time
+	// isolated holds until when jobs are isolated after a panic. They are not live.
+	isolated map[*job]time.Time
+	// processing is the job that is being processed under the lock, or nil. A panic is
+	// put down to it.
+	processing *job
 	// resumedAt is when the process resumed after a pause.
 	resumedAt time.Time
 	// registryReadAt is when the registry was last read.
@@ -204,6 +209,7 @@
 		startedAt:      time.Now(),
 		jobs:           map[string]*job{},
 		live:           map[string]*job{},
+		isolated:       map[*job]time.Time{},
 		unreadable:     map[string]bool{},
 		workers:        map[string]*worker{},
 		loads:          map[string]*serviceLoad{},
@@ -225,10 +231,11 @@
 	p.group, p.ctx = group, ctx
 	p.adoptRuns()
 	p.mu.Unlock()
-	group.Go(func() error { return p.commitLoop(ctx) })
-	group.Go(func() error { return p.pollRegistry(ctx) })
-	group.Go(func() error { return p.tickLoop(ctx) })
-	group.Go(func() error { return p.processAdviceRequests(ctx) })
+	for activity, loop := range map[string]func(context.Context) error{
+		"committing": p.commitLoop, "reading the registry": p.pollRegistry, "checking leases": p.tickLoop, "asking the adviser": p.processAdviceRequests,
+	} {
+		group.Go(func() error { return p.protect(activity, func() error { return loop(ctx) }) })
+	}
 	err := group.Wait()
 	p.mu.Lock()
 	p.ended = true
@@ -300,39 +307,17 @@
 		case <-renew.C:
 			renewalDue = true
 		}
-		p.mu.Lock()
-		if p.resigning {
-			p.ended = true
-			row := p.leasesRow(time.Now())
-			p.mu.Unlock()
-			return p.Term.Resign(ctx, row)
+		var c changes
+		p.locked("collecting changes", func() { c = p.collectChanges(renewalDue) })
+		if c.resigning {
+			return p.Term.Resign(ctx, c.writes)
 		}
-		p.decideSafely(time.Now())
-		writes, callbacks := p.collectWrites()
-		removes, obsolete := p.obsoleteJobs(time.Now(), term.MaxChanges-len(writes))
-		if len(writes)+len(removes) == 0 && !renewalDue {
-			p.mu.Unlock()
+		if !c.due {
 			continue
 		}
-		if len(writes)+len(removes) < term.MaxChanges {
-			writes = append(writes, p.learnedStateRow(time.Now())...)
-		}
-		p.commitStart = time.Now()
-		p.mu.Unlock()
-		err := p.Term.Commit(ctx, writes, removes)
-		p.mu.Lock()
-		p.instruments.commit.UpdateDuration(p.commitStart)
-		p.commitStart = time.Time{}
-		if err == nil {
-			for _, f := range callbacks {
-				f()
-			}
-			for _, j := range obsolete {
-				delete(p.jobs, j.spec.ID)
-			}
-		}
-		more := len(p.dirty) > 0
-		p.mu.Unlock()
+		err := p.Term.Commit(ctx, c.writes, c.removes)
+		more := false
+		p.locked("applying stored changes", func() { more = p.applyStored(c, err) })
 		if err != nil {
 			var superseded *term.SupersededError
 			if errors.As(err, &superseded) {
@@ -340,21 +325,81 @@
 			}
 			return err
 		}
-		if more || len(callbacks) > 0 {
+		if more {
 			p.wake()
 		}
 		renew.Reset(term.RenewInterval)
 	}
 }
 
+// changes are what a transaction stores.
+type changes struct {
+	writes  []platform.StoredRow
+	removes []platform.RowKey
+	// onStored are called once the changes are stored; obsolete jobs are forgotten then.
+	onStored []jobCallback
+	obsolete []*job
+	// due is set if there is a transaction to make, resigning if it is the last one of
+	// the term.
+	due, resigning bool
+}
+
+// jobCallback is called once a change of a job is stored.
+type jobCallback struct {
+	job *job
+	f   func()
+}
+
+// collectChanges makes a decision and returns what is to be stored. The caller holds
+// the lock.
+func (p *Planner) collectChanges(renewalDue bool) changes {
+	if p.resigning {
+		p.ended = true
+		return changes{resigning: true, writes: p.leasesRow(time.Now())}
+	}
+	p.reinstate(time.Now())
+	p.decideSafely(time.Now())
+	var c changes
+	c.writes, c.onStored = p.collectWrites()
+	c.removes, c.obsolete = p.obsoleteJobs(time.Now(), term.MaxChanges-len(c.writes))
+	c.due = len(c.writes)+len(c.removes) > 0 || renewalDue
+	if !c.due {
+		return c
+	}
+	if len(c.writes)+len(c.removes) < term.MaxChanges {
+		c.writes = append(c.writes, p.learnedStateRow(time.Now())...)
+	}
+	p.commitStart = time.Now()
+	return c
+}
+
+// applyStored applies the effects of changes that a transaction has stored, unless it
+// failed, and reports whether there may be more to store. The caller holds the lock.
+func (p *Planner) applyStored(c changes, err error) bool {
+	p.instruments.commit.UpdateDuration(p.commitStart)
+	p.commitStart = time.Time{}
+	if err != nil {
+		return false
+	}
+	for _, stored := range c.onStored {
+		p.contain(stored.job, "stored change", stored.f)
+	}
+	for _, j := range c.obsolete {
+		delete(p.jobs, j.spec.ID)
+	}
+	return len(p.dirty)+len(c.onStored) > 0
+}
+
 // collectWrites returns the rows and callbacks of changed jobs, as many as fit
 // into one transaction. The caller holds the lock.
-func (p *Planner) collectWrites() ([]platform.StoredRow, []func()) {
+func (p *Planner) collectWrites() ([]platform.StoredRow, []jobCallback) {
 	var writes []platform.StoredRow
-	var callbacks []func()
+	var callbacks []jobCallback
 	size, taken := 0, 0
 	for _, j := range p.dirty {
-		rows, err := j.encodeRows(p.clock)
+		var rows []platform.StoredRow
+		err := errNotEncoded
+		p.contain(j, "encoding of a job", func() { rows, err = j.encodeRows(p.clock) })
 		if err != nil {
 			p.Log.Error(err, "job cannot be encoded", "job", j.spec.ID)
 			taken++
@@ -369,17 +414,22 @@
 		taken++
 		writes = append(writes, rows...)
 		state := j.progress.State
-		callbacks = append(callbacks, func() {
+		callbacks = append(callbacks, jobCallback{j, func() {
 			j.stored = true
 			j.visibleState = state
-		})
-		callbacks = append(callbacks, j.onStored...)
+		}})
+		for _, f := range j.onStored {
+			callbacks = append(callbacks, jobCallback{j, f})
+		}
 		j.onStored, j.dirty = nil, false
 	}
 	p.dirty = slices.Delete(p.dirty, 0, taken)
 	return writes, callbacks
 }
 
+// errNotEncoded is the error of a job whose encoding did not return.
+var errNotEncoded = errors.New("encoding did not return")
+
 const (
 	// retentionFactor is the multiple of Timing.Retention after which an ended
 	// job is deleted.
@@ -445,16 +495,16 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		p.mu.Lock()
-		now := time.Now()
-		if now.Sub(last) > maxTickGap {
-			p.Log.Info("planner process was paused", "pause", now.Sub(last))
-			p.resumedAt = now
-		}
-		last = now
-		p.expireLeases(now)
-		p.demand.dueSamples++
-		p.mu.Unlock()
+		p.locked("checking leases", func() {
+			now := time.Now()
+			if now.Sub(last) > maxTickGap {
+				p.Log.Info("planner process was paused", "pause", now.Sub(last))
+				p.resumedAt = now
+			}
+			last = now
+			p.expireLeases(now)
+			p.demand.dueSamples++
+		})
 		p.wake()
 	}
 }
--- a/scheduler/control/recovery.go
+++ b/scheduler/control/recovery.go
@@ -138,14 +138,23 @@
 // jobs are included, because they occupy resources until they are stopped.
 func (p *Planner) adoptRuns() {
 	for _, j := range p.jobs {
-		j.started = j.progress.Begun()
-		for i := range j.progress.Steps {
-			s := &j.progress.Steps[i]
-			for t := range s.Tasks {
-				if s.Tasks[t].State != batch.TaskPlaced {
-					continue
-				}
-				id := batch.TaskID{Job: j.spec.ID, Occurrence: i / len(j.spec.Steps), Step: i % len(j.spec.Steps), Index: t}
+		p.contain(j, "adoption of runs", func() {
+			j.started = j.progress.Begun()
+			p.adoptJob(j)
+		})
+	}
+}
+
+// adoptJob creates the placements of a job that are missing.
+func (p *Planner) adoptJob(j *job) {
+	for i := range j.progress.Steps {
+		s := &j.progress.Steps[i]
+		for t := range s.Tasks {
+			if s.Tasks[t].State != batch.TaskPlaced {
+				continue
+			}
+			id := batch.TaskID{Job: j.spec.ID, Occurrence: i / len(j.spec.Steps), Step: i % len(j.spec.Steps), Index: t}
+			if w := p.workers[s.Tasks[t].Worker]; w == nil || w.placements[id] == nil {
 				p.adoptRun(j, id, &s.Tasks[t])
 			}
 		}
--- a/scheduler/control/report.go
+++ b/scheduler/control/report.go
@@ -19,15 +19,15 @@
 		p.handleRestart(w, state)
 	}
 	for _, e := range state.Ended {
-		if e.Sequence > w.lastSequence {
-			w.lastSequence = e.Sequence
-			p.handleEnd(w, e)
-		}
+		p.processEnd(w, e)
 	}
+	p.releaseHeldEnds(w, len(state.Ended))
 	present := make(map[batch.TaskID]int, len(state.Running))
 	for _, r := range state.Running {
 		present[r.Task] = r.Number
-		p.handleRunning(w, r, now)
+		if j := p.jobs[r.Task.Job]; !p.isIsolated(j) {
+			p.contain(j, "report of a run", func() { p.handleRunning(w, r, now) })
+		}
 	}
 	if len(state.Ended) < maxReportedEnds {
 		p.checkMissing(w, present, pollStart)
@@ -54,7 +54,9 @@
 	w.leasesEnd = time.Now().Add(p.maxLeaseTime())
 	w.lastSequence, w.acknowledgedSequence = 0, 0
 	clear(w.unstoredEnds)
+	clear(w.heldEnds)
 	for id, pl := range w.placements {
+		p.processing = pl.job
 		t := pl.job.progress.Task(pl.job.spec, id)
 		switch {
 		case t.WorkerIncarnation == state.Incarnation:
@@ -65,6 +67,7 @@
 			p.loseRun(pl, "worker restarted")
 		}
 	}
+	p.processing = nil
 }
 
 // handleRunning processes a running task; a run without a placement is stopped.
@@ -72,10 +75,7 @@
 	pl := w.placements[r.Task]
 	if pl == nil || pl.run != r.Number {
 		p.Log.Info("stopping unknown run", "task", r.Task, "run", r.Number, "worker", w.info.ID)
-		p.group.Go(func() error {
-			p.stopUnknown(w, r.Run)
-			return nil
-		})
+		p.spawn("stop of a run", func() { p.stopUnknown(w, r.Run) })
 		return
 	}
 	pl.missedPolls = 0
@@ -154,9 +154,10 @@
 // that is not listed is fenced by the generation and never starts.
 func (p *Planner) checkMissing(w *worker, present map[batch.TaskID]int, pollStart time.Time) {
 	for id, pl := range w.placements {
-		if present[id] == pl.run {
+		if present[id] == pl.run || p.isIsolated(pl.job) {
 			continue
 		}
+		p.processing = pl.job
 		switch pl.phase {
 		case phaseInherited:
 			p.loseRun(pl, "never started")
@@ -169,6 +170,7 @@
 			}
 		}
 	}
+	p.processing = nil
 }
 
 // endJob ends a job; remaining runs are stopped once that is stored.
--- a/scheduler/control/start.go
+++ b/scheduler/control/start.go
@@ -12,6 +12,7 @@
 func (p *Planner) applyStarts(v *decisionView, starts []assignment.Start) {
 	for _, s := range starts {
 		g, j, w := &v.input.Groups[s.Group], v.jobs[s.Group], v.workers[s.Worker]
+		p.processing = j
 		id := batch.TaskID{Job: g.Job, Occurrence: g.Occurrence, Step: g.Step, Index: s.Index}
 		t := j.progress.Task(j.spec, id)
 		pl := &placement{
@@ -29,11 +30,14 @@
 	// checkpoint of a gang depend on all of its tasks.
 	for _, s := range starts {
 		g, j, w := &v.input.Groups[s.Group], v.jobs[s.Group], v.workers[s.Worker]
+		p.processing = j
 		id := batch.TaskID{Job: g.Job, Occurrence: g.Occurrence, Step: g.Step, Index: s.Index}
 		t := j.progress.Task(j.spec, id)
 		pl := w.placements[id]
+		p.processing = j
 		t.State, t.Run, t.Worker, t.WorkerIncarnation, t.Checkpoint = batch.TaskPlaced, pl.run, w.info.ID, w.incarnation, pl.checkpoint
 	}
+	p.processing = nil
 }
 
 // logStarts writes one line for each group that starts.
@@ -100,8 +104,5 @@
 	}
 	pl.phase = phaseStarting
 	p.recordLease(pl.worker, time.Now())
-	p.group.Go(func() error {
-		p.startUntilAnswered(pl)
-		return nil
-	})
+	p.spawn("start of a run", func() { p.startUntilAnswered(pl) })
 }
--- a/scheduler/control/submission.go
+++ b/scheduler/control/submission.go
@@ -65,22 +65,30 @@
 		return Response{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
 	p.awaitRegistry(ctx)
-	p.mu.Lock()
+	resp, stored := panickedResponse, (<-chan struct{})(nil)
+	p.locked("submission", func() { resp, stored = p.admit(spec, q, guaranteed) })
+	return p.awaitStored(ctx, resp, stored)
+}
+
+// panickedResponse is the response to a call whose processing panicked.
+var panickedResponse = Response{Outcome: OutcomeUnknown, Reason: "the call met a fault of the planner"}
+
+// admit adds a job unless it is known, and returns the response, or OutcomeAccepted and
+// a channel that is closed once the job is stored. The caller holds the lock.
+func (p *Planner) admit(spec *batch.Job, q Queue, guaranteed int64) (Response, <-chan struct{}) {
 	if p.unreadable[spec.ID] {
-		p.mu.Unlock()
-		return Response{Outcome: OutcomeUnknown, Reason: "the record of the job is damaged"}
+		return Response{Outcome: OutcomeUnknown, Reason: "the record of the job is damaged"}, nil
 	}
 	j := p.jobs[spec.ID]
 	if j == nil {
 		if resp := p.checkAdmission(spec, q); resp.Outcome != 0 {
-			p.mu.Unlock()
-			return resp
+			return resp, nil
 		}
 		j = newJob(spec, q, guaranteed, batch.NewProgress(spec))
 		p.jobs[spec.ID] = j
 		p.live[spec.ID] = j
 	}
-	return p.awaitStored(ctx, j, j.stored)
+	return Response{Outcome: OutcomeAccepted}, p.storedSignal(j, j.stored)
 }
 
 // awaitRegistry returns when the registry of workers has been read in this term, or
@@ -100,19 +108,25 @@
 	}
 }
 
-// awaitStored returns OutcomeAccepted once the job's changes are stored, or at
-// once if they are. The caller holds the lock, which is released.
-func (p *Planner) awaitStored(ctx context.Context, j *job, stored bool) Response {
+// storedSignal returns a channel that is closed once the job's changes are stored, or
+// nil if they are. The caller holds the lock.
+func (p *Planner) storedSignal(j *job, stored bool) <-chan struct{} {
 	if stored {
-		p.mu.Unlock()
-		return Response{Outcome: OutcomeAccepted}
+		return nil
+	}
+	done := make(chan struct{})
+	p.markDirty(j, func() { close(done) })
+	return done
+}
+
+// awaitStored returns the response once the channel is closed, or at once if it is nil.
+func (p *Planner) awaitStored(ctx context.Context, resp Response, stored <-chan struct{}) Response {
+	if stored == nil {
+		return resp
 	}
-	done := make(chan Response, 1)
-	p.markDirty(j, func() { done <- Response{Outcome: OutcomeAccepted} })
-	p.mu.Unlock()
 	p.wake()
 	select {
-	case resp := <-done:
+	case <-stored:
 		return resp
 	case <-ctx.Done():
 	case <-p.ctx.Done():
@@ -168,17 +182,24 @@
 
 // Cancel cancels a job. It returns when the cancellation is stored or ctx ends.
 func (p *Planner) Cancel(ctx context.Context, queue, id string) Response {
-	p.mu.Lock()
-	j, resp := p.findJob(queue, id)
+	resp, stored := panickedResponse, (<-chan struct{})(nil)
+	p.locked("cancellation", func() { resp, stored = p.cancel(queue, id) })
+	return p.awaitStored(ctx, resp, stored)
+}
+
+// cancel ends a job, and returns the response, or OutcomeAccepted and a channel that is
+// closed once that is stored. The caller holds the lock.
+func (p *Planner) cancel(queue, id string) (Response, <-chan struct{}) {
 	if p.ctx == nil {
-		j, resp = nil, startingResponse
+		return startingResponse, nil
 	}
+	j, resp := p.findJob(queue, id)
 	if j == nil {
-		p.mu.Unlock()
-		return resp
+		return resp, nil
 	}
+	p.processing = j
 	p.endJob(j, batch.JobCancelled)
-	return p.awaitStored(ctx, j, j.visibleState.Final())
+	return Response{Outcome: OutcomeAccepted}, p.storedSignal(j, j.visibleState.Final())
 }
 
 // findJob returns a job, or the response for a job that is not found. The
--- a/scheduler/control/throttle.go
+++ b/scheduler/control/throttle.go
@@ -46,10 +46,7 @@
 	for _, pl := range bestEffort {
 		if pl.appliedShare != share && !pl.throttling {
 			pl.throttling = true
-			p.group.Go(func() error {
-				p.sendThrottle(pl, share)
-				return nil
-			})
+			p.spawn("throttling", func() { p.sendThrottle(pl, share) })
 		}
 	}
 }
@@ -57,16 +54,20 @@
 // sendThrottle sends the share of a run once; after a failure the next report
 // triggers it again.
 func (p *Planner) sendThrottle(pl *placement, share int) {
-	p.mu.Lock()
-	runner := pl.worker.runner
-	p.mu.Unlock()
+	var runner platform.Runner
+	p.locked("throttling", func() { runner = pl.worker.runner })
 	ctx, cancel := context.WithTimeout(p.ctx, commandTimeout)
 	_, err := runner.Throttle(ctx, platform.ThrottleRequest{
 		Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(), SpeedPercent: share,
 	})
 	cancel()
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.locked("throttling", func() { p.applyThrottleResponse(pl, share, err) })
+}
+
+// applyThrottleResponse processes the response to a throttle request. The caller holds
+// the lock.
+func (p *Planner) applyThrottleResponse(pl *placement, share int, err error) {
+	p.processing = pl.job
 	pl.throttling = false
 	var staleRun *platform.StaleRunError
 	switch {
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -22,8 +22,10 @@
 	live := p.liveByAcceptance()
 	covered := p.coveredJobs(live)
 	for _, j := range live {
+		p.processing = j
 		p.addGroups(v, j, covered[j], now)
 	}
+	p.processing = nil
 	p.addRuns(v, covered, now)
 	p.applyShares(v)
 	p.applyInterference(v, now)
@@ -87,6 +89,7 @@
 		if j.queue.Priority != 0 {
 			continue
 		}
+		p.processing = j
 		team := j.spec.Team
 		if _, ok := remaining[team]; !ok {
 			remaining[team] = j.guaranteed
@@ -100,6 +103,7 @@
 			covered[j] = true
 		}
 	}
+	p.processing = nil
 	return covered
 }
 
@@ -251,6 +255,10 @@
 	budget := p.newDisruptionBudget()
 	for i, w := range v.workers {
 		for _, pl := range w.placements {
+			if p.isIsolated(pl.job) {
+				continue
+			}
+			p.processing = pl.job
 			stopping := p.endsByStop(pl, now)
 			if !stopping && (pl.phase != phaseStarting && pl.phase != phaseRunning || !budget.consume(pl)) {
 				continue
@@ -282,4 +290,5 @@
 			}
 		}
 	}
+	p.processing = nil
 }
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -66,12 +66,15 @@
 	clock       time.Duration
 	clockReadAt time.Time
 	// lastSequence is the latest end that was processed. unstoredEnds are
-	// processed ends that are not stored yet.
+	// processed ends that are not stored yet, each with the attempt to process it.
 	lastSequence         int64
 	acknowledgedSequence int64
-	unstoredEnds         map[int64]struct{}
-	used                 batch.Resources
-	placements           map[batch.TaskID]*placement
+	unstoredEnds         map[int64]int
+	endAttempts          int
+	// heldEnds are those of them that belong to isolated jobs.
+	heldEnds   map[int64]struct{}
+	used       batch.Resources
+	placements map[batch.TaskID]*placement
 	// trust follows from the ends of the worker's runs.
 	trust trust.State
 	// lastResponse is when the latest poll was answered.
@@ -150,8 +153,12 @@
 
 // updateWorkers applies a listing of the workers.
 func (p *Planner) updateWorkers(list []platform.RunnerInfo) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.locked("listing of the workers", func() { p.applyListing(list) })
+	p.wake()
+}
+
+// applyListing is updateWorkers for callers that hold the lock.
+func (p *Planner) applyListing(list []platform.RunnerInfo) {
 	now := time.Now()
 	for _, w := range p.workers {
 		w.listed = false
@@ -200,14 +207,13 @@
 		close(p.registryRead)
 	}
 	p.registryReadAt = now
-	p.wake()
 }
 
 // addWorker adds a worker and starts polling it. The caller holds the lock.
 func (p *Planner) addWorker(info platform.RunnerInfo) *worker {
 	w := &worker{
 		info: info, runner: p.Dialer.Runner(info), leasesEnd: p.inheritedLeasesEnd(info.ID),
-		unstoredEnds: map[int64]struct{}{}, placements: map[batch.TaskID]*placement{},
+		unstoredEnds: map[int64]int{}, heldEnds: map[int64]struct{}{}, placements: map[batch.TaskID]*placement{},
 		pollRequests: make(chan struct{}, 1),
 	}
 	w.firstListedAt = time.Now()
@@ -215,10 +221,7 @@
 	p.workers[info.ID] = w
 	ctx, cancel := context.WithCancel(p.ctx)
 	w.cancel = cancel
-	p.group.Go(func() error {
-		p.pollLoop(ctx, w)
-		return nil
-	})
+	p.spawn("polling", func() { p.pollLoop(ctx, w) })
 	return w
 }
 
@@ -309,15 +312,37 @@
 	}
 }
 
+// pollCall is a poll of a worker.
+type pollCall struct {
+	runner  platform.Runner
+	request platform.RenewLeaseRequest
+	begin   time.Time
+	// tracked identifies the call in the worker's call tracker.
+	tracked int
+}
+
 // poll renews the lease of a worker, processes its report, and returns the
 // delay before the next poll.
 func (p *Planner) poll(ctx context.Context, w *worker) time.Duration {
-	p.mu.Lock()
-	if p.ended || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod {
-		// Another planner may be active; the leases must be able to expire.
-		p.mu.Unlock()
+	var c *pollCall
+	p.locked("polling", func() { c = p.preparePoll(w) })
+	if c == nil {
 		return pollRetryInterval
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.request.Wait+responseTimeout)
+	state, err := c.runner.RenewLease(ctx, c.request)
+	cancel()
+	delay := pollRetryInterval
+	p.locked("report of a worker", func() { delay = p.handlePollResponse(w, c, state, err) })
+	return delay
+}
+
+// preparePoll returns the next poll of a worker, or nil while its leases must be able to
+// expire because another planner may be active. The caller holds the lock.
+func (p *Planner) preparePoll(w *worker) *pollCall {
+	if p.ended || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod {
+		return nil
+	}
 	now := time.Now()
 	request := platform.RenewLeaseRequest{Generation: p.Term.Generation()}
 	if now.Sub(w.lastResponse) <= acknowledgeWindow {
@@ -337,17 +362,13 @@
 	if request.LeaseDeadline > 0 {
 		p.recordLease(w, now)
 	}
-	runner := w.runner
-	call := w.trackCall(now.Add(request.Wait))
-	p.mu.Unlock()
-
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+responseTimeout)
-	state, err := runner.RenewLease(ctx, request)
-	cancel()
+	return &pollCall{runner: w.runner, request: request, begin: now, tracked: w.trackCall(now.Add(request.Wait))}
+}
 
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.recordResponse(w, call, err)
+// handlePollResponse processes the response to a poll and returns the delay before the
+// next one. The caller holds the lock.
+func (p *Planner) handlePollResponse(w *worker, c *pollCall, state platform.RunnerState, err error) time.Duration {
+	p.recordResponse(w, c.tracked, err)
 	if err != nil {
 		return p.handlePollError(w, err)
 	}
@@ -356,9 +377,9 @@
 		w.trust = w.trust.WithSilence(time.Now())
 	}
 	w.failedPolls = 0
-	w.acknowledgedSequence = max(w.acknowledgedSequence, request.AcknowledgedSequence)
+	w.acknowledgedSequence = max(w.acknowledgedSequence, c.request.AcknowledgedSequence)
 	w.lastResponse = time.Now()
-	p.handleReport(w, state, now)
+	p.handleReport(w, state, c.begin)
 	switch {
 	case len(w.unstoredEnds) > 0:
 		return unstoredPollInterval
@@ -406,7 +427,7 @@
 // caller holds the lock.
 func (p *Planner) loseRuns(w *worker, reason string) {
 	for _, pl := range w.placements {
-		p.loseRun(pl, reason)
+		p.contain(pl.job, "loss of a run", func() { p.loseRun(pl, reason) })
 	}
 }
 
