control: a call to the adviser names workers whose tickets can be used

Cause: a call named up to 30 workers and took 2.6 s; the validity of 3 s counts from its start, less 0.7 s, so that all tickets had ended when they arrived. The next call was the same. The timing in the configuration was ignored.

Change: package adviser estimates the time of a call from the configuration and the latest call, and limits the workers of a call so that its tickets can be used. Where even the smallest useful call takes too long, tickets are used for as long as they may be valid.

--- a/scheduler/assignment/advice.go
+++ b/scheduler/assignment/advice.go
@@ -101,6 +101,9 @@
 // the workers with valid tickets.
 func (d *decider) adviceWorkers(g *Group, allowed map[string]bool, slots []int) []int {
 	limit := min(max(adviceWorkersPerTask*len(g.Indexes), minAdviceWorkers), MaxAdviceWorkers)
+	if g.AdviceLimit > 0 {
+		limit = min(limit, g.AdviceLimit)
+	}
 	var workers []int
 	others := *g
 	others.ReservedWorkers = nil
--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -65,6 +65,9 @@
 	// Allowed restricts the tasks to the workers that the adviser has approved, by ID,
 	// if it is not nil. Rejected are those that it has rejected.
 	Allowed, Rejected map[string]bool
+	// AdviceLimit is the largest number of workers in one request, or 0 for
+	// MaxAdviceWorkers.
+	AdviceLimit int
 	// AdvicePending is set while the adviser is asked about more workers.
 	AdvicePending bool
 	// Rack is the rack that holds the input data, or empty.
--- a/scheduler/control/advice.go
+++ b/scheduler/control/advice.go
@@ -4,15 +4,13 @@
 	"context"
 	"time"
 
+	"daisylug.example/scheduler/adviser"
 	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/platform"
 )
 
 const (
-	// ticketMargin is the part of a ticket's validity that is reserved for
-	// delivering the start request.
-	ticketMargin = 700 * time.Millisecond
 	// adviceTimeout is the timeout of a call; calls of other instances may be
 	// processed first.
 	adviceTimeout = 10 * time.Second
@@ -52,10 +50,14 @@
 	incarnation int64
 }
 
+// adviserTicket is used until expiresAt, which counts from the start of its call. Where
+// calls take too long for that it is used until latestExpiry, which counts from the
+// response.
 type adviserTicket struct {
-	value       string
-	incarnation int64
-	expiresAt   time.Time
+	value        string
+	incarnation  int64
+	expiresAt    time.Time
+	latestExpiry time.Time
 }
 
 // adviceRequest is a call to the adviser.
@@ -67,15 +69,22 @@
 
 // needsAdvice reports whether the steps of a job need tickets.
 func (p *Planner) needsAdvice(j *job) bool {
-	if p.Adviser == nil || !p.Adviser.Configured() {
-		return false
-	}
-	if c := p.Config(); c != nil {
-		if q, ok := c.Queues[j.spec.Queue]; ok {
-			return q.Advised
-		}
+	return p.Adviser != nil && p.Adviser.Configured() && p.currentQueue(j).Advised
+}
+
+// adviserTiming returns how long calls for the queue of a job take.
+func (p *Planner) adviserTiming(j *job) adviser.Timing {
+	return p.adviserTimings[j.spec.Queue].WithFigures(p.currentQueue(j).Adviser)
+}
+
+// fewestAdvised returns the least number of workers to ask in one call so that tasks of
+// a group can start. The tickets of a gang have to be valid together, and some workers
+// are rejected.
+func fewestAdvised(g *assignment.Group) int {
+	if !g.Gang {
+		return 1
 	}
-	return j.queue.Advised
+	return min(2*len(g.Indexes), assignment.MaxAdviceWorkers)
 }
 
 // applyAdvice limits a group to the workers with valid tickets.
@@ -87,9 +96,19 @@
 		j.advice[ref] = a
 	}
 	g.AdvicePending = a.pending || now.Before(a.retryAt)
+	timing := p.adviserTiming(j)
+	// If no call is short enough, tickets are used for as long as they may be valid; a
+	// refused start costs less than a job that never starts.
+	fewest := fewestAdvised(g)
+	late := !timing.Fits(fewest)
+	g.AdviceLimit = max(timing.Workers(assignment.MaxAdviceWorkers), fewest)
 	g.Allowed, g.Rejected = map[string]bool{}, map[string]bool{}
 	for id, t := range a.tickets {
-		if w := p.workers[id]; w != nil && w.incarnation == t.incarnation && !now.Add(ticketMargin).After(t.expiresAt) {
+		expiry := t.expiresAt
+		if late {
+			expiry = t.latestExpiry
+		}
+		if w := p.workers[id]; w != nil && w.incarnation == t.incarnation && now.Before(expiry) {
 			g.Allowed[id] = true
 		}
 	}
@@ -180,6 +199,9 @@
 	a := request.job.advice[stepRef{request.step.Occurrence, request.step.Step}]
 	a.pending = false
 	if err != nil {
+		if took := time.Since(start); took >= adviceTimeout {
+			p.adviserTimings[request.job.spec.Queue] = p.adviserTiming(request.job).WithTimeout(len(request.workers), took)
+		}
 		delay := min(adviceRetryDelay<<min(a.failures, maxAdviceBackoffSteps), maxAdviceRetryDelay)
 		a.failures++
 		a.retryAt = time.Now().Add(delay)
@@ -188,15 +210,18 @@
 		return false
 	}
 	a.failures, a.retryAt = 0, time.Time{}
+	now := time.Now()
+	p.adviserTimings[request.job.spec.Queue] = p.adviserTiming(request.job).WithCall(len(request.workers), now.Sub(start), answer.Validity)
+	usable := adviser.Usable(answer.Validity)
 	for _, w := range request.workers {
 		value, approved := answer.Tickets[w.worker]
 		a.verdicts[w] = approved
 		if approved {
-			a.tickets[w.worker] = adviserTicket{value, w.incarnation, start.Add(answer.Validity)}
+			a.tickets[w.worker] = adviserTicket{value, w.incarnation, start.Add(usable), now.Add(usable)}
 		}
 	}
 	p.Log.Info("adviser responded", "job", request.step.Job, "step", request.step.Step, "workers", len(request.workers), "approved", len(answer.Tickets),
-		"took", time.Since(start))
+		"took", now.Sub(start), "validity", answer.Validity)
 	return true
 }
 
--- a/scheduler/control/advice_test.go
+++ b/scheduler/control/advice_test.go
@@ -127,8 +127,9 @@
 		workers: map[string]*worker{"a": onTrial, "b": free, "c": spared}, adviceRequests: make(chan adviceRequest, 1),
 		trust: trustState{spared: map[*worker]bool{spared: true}},
 	}
+	p.Config = func() *Config { return nil }
 	j := &job{spec: &batch.Job{ID: "j"}, advice: map[stepRef]*advice{{}: {
-		verdicts: map[workerIncarnation]bool{}, tickets: map[string]adviserTicket{"a": {"t", 1, now.Add(time.Minute)}},
+		verdicts: map[workerIncarnation]bool{}, tickets: map[string]adviserTicket{"a": {value: "t", incarnation: 1, expiresAt: now.Add(time.Minute)}},
 	}}}
 	g := assignment.Group{Job: "j", Service: "s", Indexes: []int{0, 1, 2, 3}, Need: batch.Resources{Accelerators: 1}, Priority: 1, Trial: true}
 	p.applyAdvice(j, &g, now)
--- a/scheduler/control/config.go
+++ b/scheduler/control/config.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"daisylug.example/scheduler/adviser"
+)
 
 // Config is the configuration of a deployment. It is immutable; a newer version
 // replaces it.
@@ -27,6 +31,8 @@
 	// Advised is set if an adviser decides on which workers the steps of its
 	// jobs may run.
 	Advised bool
+	// Adviser is what the operator states of it.
+	Adviser adviser.Figures
 }
 
 // Team holds the guarantee of a team.
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"daisylug.example/scheduler/adviser"
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/evacuation"
 	"daisylug.example/scheduler/interference"
@@ -149,6 +150,8 @@
 	registryReadAt time.Time
 	// registryRead is closed when the registry has been read for the first time.
 	registryRead chan struct{}
+	// adviserTimings holds how long calls to the adviser take, by queue.
+	adviserTimings map[string]adviser.Timing
 	// adviceRequests queues calls to the adviser.
 	adviceRequests chan adviceRequest
 	wakeups        chan struct{}
@@ -214,6 +217,7 @@
 		workers:        map[string]*worker{},
 		loads:          map[string]*serviceLoad{},
 		dataCentres:    map[string]*dataCentre{},
+		adviserTimings: map[string]adviser.Timing{},
 		estimator:      queue.NewEstimator(),
 		speeds:         pace.New(),
 		interference:   interference.New(),
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -171,16 +171,20 @@
 	return waiting
 }
 
-// service returns the service whose workers run the queue of a job.
-func (p *Planner) service(j *job) string {
+// currentQueue returns the queue of a job as it is now, or as it was when the job was
+// accepted if it is gone.
+func (p *Planner) currentQueue(j *job) Queue {
 	if c := p.Config(); c != nil {
 		if q, ok := c.Queues[j.spec.Queue]; ok {
-			return q.Service
+			return q
 		}
 	}
-	return j.queue.Service
+	return j.queue
 }
 
+// service returns the service whose workers run the queue of a job.
+func (p *Planner) service(j *job) string { return p.currentQueue(j).Service }
+
 func (p *Planner) newGroup(v *decisionView, j *job, occurrence, step int, due time.Time) assignment.Group {
 	s := &j.spec.Steps[step]
 	length := p.criticalPath(j, step)
