control: a job belongs to the path at which it was submitted

Cause: a job was looked up by its id and the name of the queue that now serves the path of the call. Callers know a job by its path.

Change: the record of a job has the host and path of its submission. A submission with the id of another queue's job is refused with 400.

--- a/daisylugd/entry/call.go
+++ b/daisylugd/entry/call.go
@@ -46,13 +46,13 @@
 		return e.callLocalPlanner(func(p *control.Planner) control.Response { return p.Submit(ctx, m.GetJob(), age) }), nil
 	}))
 	e.group.Handle(methodCancel, member.Typed(func(ctx context.Context, _ platform.Instance, m *schema.JobRef) (proto.Message, error) {
-		return e.callLocalPlanner(func(p *control.Planner) control.Response { return p.Cancel(ctx, m.GetQueue(), m.GetId()) }), nil
+		return e.callLocalPlanner(func(p *control.Planner) control.Response { return p.Cancel(ctx, decodeJobRef(m)) }), nil
 	}))
 	e.group.Handle(methodState, member.Typed(func(_ context.Context, _ platform.Instance, m *schema.JobRef) (proto.Message, error) {
-		return e.callLocalPlanner(func(p *control.Planner) control.Response { return p.State(m.GetQueue(), m.GetId()) }), nil
+		return e.callLocalPlanner(func(p *control.Planner) control.Response { return p.State(decodeJobRef(m)) }), nil
 	}))
 	e.group.Handle(methodPending, member.Typed(func(_ context.Context, _ platform.Instance, m *schema.JobRef) (proto.Message, error) {
-		return e.callLocalPlanner(func(p *control.Planner) control.Response { return p.Pending(m.GetQueue()) }), nil
+		return e.callLocalPlanner(func(p *control.Planner) control.Response { return p.Pending(decodeJobRef(m)) }), nil
 	}))
 }
 
@@ -82,37 +82,45 @@
 }
 
 // Cancel asks the planner to cancel a job.
-func (e *Server) Cancel(ctx context.Context, queue, id string) control.Response {
-	return e.callPlanner(ctx, methodCancel, fixedRequest(&schema.JobRef{Id: id, Queue: queue}), func(p *control.Planner) control.Response {
-		return p.Cancel(ctx, queue, id)
+func (e *Server) Cancel(ctx context.Context, ref control.JobRef) control.Response {
+	return e.callPlanner(ctx, methodCancel, fixedRequest(encodeJobRef(ref)), func(p *control.Planner) control.Response {
+		return p.Cancel(ctx, ref)
 	})
 }
 
 // Pending counts the jobs of a queue that have not started.
-func (e *Server) Pending(ctx context.Context, queue string) control.Response {
-	return e.callPlanner(ctx, methodPending, fixedRequest(&schema.JobRef{Queue: queue}), func(p *control.Planner) control.Response {
-		return p.Pending(queue)
+func (e *Server) Pending(ctx context.Context, ref control.JobRef) control.Response {
+	return e.callPlanner(ctx, methodPending, fixedRequest(encodeJobRef(ref)), func(p *control.Planner) control.Response {
+		return p.Pending(ref)
 	})
 }
 
 // State returns the state of a job. It reads the state from the store if the
 // planner does not respond.
-func (e *Server) State(ctx context.Context, queue, id string) control.Response {
+func (e *Server) State(ctx context.Context, ref control.JobRef) control.Response {
 	callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
-	response := e.callPlanner(callCtx, methodState, fixedRequest(&schema.JobRef{Id: id, Queue: queue}), func(p *control.Planner) control.Response {
-		return p.State(queue, id)
+	response := e.callPlanner(callCtx, methodState, fixedRequest(encodeJobRef(ref)), func(p *control.Planner) control.Response {
+		return p.State(ref)
 	})
 	cancel()
 	if response.Outcome == control.OutcomeOK || response.Outcome == control.OutcomeNotFound {
 		return response
 	}
-	stored, err := control.ReadState(ctx, e.services.Store, queue, id)
+	stored, err := control.ReadState(ctx, e.services.Store, ref)
 	if err != nil {
 		return control.Response{Outcome: control.OutcomeUnavailable, RetryAfter: noPlannerRetryAfter, Reason: err.Error()}
 	}
 	return stored
 }
 
+func encodeJobRef(r control.JobRef) *schema.JobRef {
+	return &schema.JobRef{Id: r.ID, Queue: r.Queue, Path: r.Path}
+}
+
+func decodeJobRef(m *schema.JobRef) control.JobRef {
+	return control.JobRef{ID: m.GetId(), Queue: m.GetQueue(), Path: m.GetPath()}
+}
+
 // fixedRequest returns a request builder that returns m at each attempt.
 func fixedRequest(m proto.Message) func() proto.Message { return func() proto.Message { return m } }
 
--- a/daisylugd/entry/store_test.go
+++ b/daisylugd/entry/store_test.go
@@ -147,7 +147,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
-	return e.State(ctx, queue, id)
+	return e.State(ctx, control.JobRef{ID: id, Queue: queue})
 }
 
 // plannerIndex returns the index of the instance that runs the planner, or -1.
--- a/scheduler/batch/job.go
+++ b/scheduler/batch/job.go
@@ -112,8 +112,11 @@
 
 // Job is an accepted job. It is immutable.
 type Job struct {
-	ID      string
-	Queue   string
+	ID    string
+	Queue string
+	// Path is where callers know the job, whatever the name of the queue is now. It may
+	// be empty.
+	Path    string
 	Team    string
 	Payload string
 	Steps   []Step
--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -227,7 +227,7 @@
 // expectState checks the visible state of a job.
 func (f *testCluster) expectState(p *Planner, queue, id string, want batch.JobState) {
 	f.t.Helper()
-	if v := p.State(queue, id); v.Outcome != OutcomeOK || v.State != want {
+	if v := p.State(JobRef{ID: id, Queue: queue}); v.Outcome != OutcomeOK || v.State != want {
 		f.t.Errorf("job %s at %v: outcome %d, state %d, want %d", id, time.Now().Format("05.000"), v.Outcome, v.State, want)
 	}
 }
--- a/scheduler/control/damage_test.go
+++ b/scheduler/control/damage_test.go
@@ -60,7 +60,7 @@
 				defer stop()
 				time.Sleep(4 * time.Second)
 				f.expectState(p, "later", "good", batch.JobDone)
-				if v := p.State("later", "bad"); v.Outcome != OutcomeUnavailable {
+				if v := p.State(JobRef{ID: "bad", Queue: "later"}); v.Outcome != OutcomeUnavailable {
 					t.Errorf("state %+v", v)
 				}
 				again := EncodeJob(batchJob("bad", "later", "a", "3s", gang(1, 8)), f.config.Queues["later"], 0)
--- a/scheduler/control/job_test.go
+++ b/scheduler/control/job_test.go
@@ -112,7 +112,7 @@
 		time.Sleep(settleTime)
 		f.submit(p, batchJob("g", "urgent", "a", "60s", gang(4, 8)))
 		time.Sleep(time.Second)
-		if v := p.Cancel(t.Context(), "urgent", "g"); v.Outcome != OutcomeAccepted {
+		if v := p.Cancel(t.Context(), JobRef{ID: "g", Queue: "urgent"}); v.Outcome != OutcomeAccepted {
 			t.Fatalf("%+v", v)
 		}
 		f.expectState(p, "urgent", "g", batch.JobCancelled)
@@ -122,7 +122,7 @@
 				t.Errorf("%d runs left on %s", n, id)
 			}
 		}
-		if v := p.Cancel(t.Context(), "urgent", "nobody"); v.Outcome != OutcomeNotFound {
+		if v := p.Cancel(t.Context(), JobRef{ID: "nobody", Queue: "urgent"}); v.Outcome != OutcomeNotFound {
 			t.Errorf("cancelling a job that does not exist: %+v", v)
 		}
 	})
@@ -192,7 +192,7 @@
 		f.expectState(p, "later", "old", batch.JobDone)
 		f.submit(p, batchJob("new", "later", "a", "600s", gang(1, 1)))
 		time.Sleep(retentionFactor * p.Timing.Retention)
-		if v := p.State("later", "old"); v.Outcome != OutcomeNotFound {
+		if v := p.State(JobRef{ID: "old", Queue: "later"}); v.Outcome != OutcomeNotFound {
 			t.Errorf("%+v", v)
 		}
 		f.expectState(p, "later", "new", batch.JobRunning)
--- a/scheduler/control/record.go
+++ b/scheduler/control/record.go
@@ -28,7 +28,7 @@
 // EncodeJob returns the record of a job with the policy of its queue.
 func EncodeJob(j *batch.Job, q Queue, guaranteed int64) *schema.Batch {
 	r := &schema.Batch{
-		Id: j.ID, Queue: j.Queue, Team: j.Team, Payload: j.Payload,
+		Id: j.ID, Queue: j.Queue, Path: j.Path, Team: j.Team, Payload: j.Payload,
 		Accepted: j.AcceptedAt.UnixMilli(), Interval: j.Interval.Milliseconds(), Occurrences: int32(j.Occurrences),
 		Policy: &schema.Policy{
 			Service: q.Service, Priority: int32(q.Priority), Attempts: int32(q.MaxAttempts),
@@ -63,7 +63,7 @@
 // guarantee of its team.
 func DecodeJob(r *schema.Batch) (*batch.Job, Queue, int64) {
 	j := &batch.Job{
-		ID: r.GetId(), Queue: r.GetQueue(), Team: r.GetTeam(), Payload: r.GetPayload(),
+		ID: r.GetId(), Queue: r.GetQueue(), Path: r.GetPath(), Team: r.GetTeam(), Payload: r.GetPayload(),
 		AcceptedAt: time.UnixMilli(r.GetAccepted()), FirstDue: time.UnixMilli(r.GetFirst()),
 		Interval: milliseconds(r.GetInterval()), Occurrences: int(r.GetOccurrences()),
 	}
--- a/scheduler/control/recovery_test.go
+++ b/scheduler/control/recovery_test.go
@@ -29,14 +29,14 @@
 		p, stop = f.startPlanner()
 		defer stop()
 		time.Sleep(settleTime)
-		if n := p.Pending("later").Count; n < 1 {
+		if n := p.Pending(JobRef{Queue: "later"}).Count; n < 1 {
 			t.Errorf("%d pending before the workers respond, want at least the one that waits", n)
 		}
 		for _, r := range f.runners {
 			r.SetFaults(memory.Faults{})
 		}
 		time.Sleep(20 * time.Second)
-		if n := p.Pending("later").Count; n != 0 {
+		if n := p.Pending(JobRef{Queue: "later"}).Count; n != 0 {
 			t.Errorf("%d pending after both have run, want 0", n)
 		}
 	})
@@ -63,7 +63,7 @@
 		if err := starting.Load(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		if r := starting.Cancel(t.Context(), "later", "runs"); r.Outcome != OutcomeUnavailable {
+		if r := starting.Cancel(t.Context(), JobRef{ID: "runs", Queue: "later"}); r.Outcome != OutcomeUnavailable {
 			t.Errorf("cancel before the planner runs: %+v", r)
 		}
 		other := EncodeJob(batchJob("other", "later", "a", "60s", one), f.config.Queues["later"], 0)
--- a/scheduler/control/submission.go
+++ b/scheduler/control/submission.go
@@ -80,6 +80,9 @@
 		return Response{Outcome: OutcomeUnknown, Reason: "the record of the job is damaged"}, nil
 	}
 	j := p.jobs[spec.ID]
+	if j != nil && !(JobRef{spec.ID, spec.Queue, spec.Path}).names(j.spec.Queue, j.spec.ID, j.spec.Path) {
+		return Response{Outcome: OutcomeInvalid, Reason: "another queue has a job with this id"}, nil
+	}
 	if j == nil {
 		if resp := p.checkAdmission(spec, q); resp.Outcome != 0 {
 			return resp, nil
@@ -181,19 +184,19 @@
 }
 
 // Cancel cancels a job. It returns when the cancellation is stored or ctx ends.
-func (p *Planner) Cancel(ctx context.Context, queue, id string) Response {
+func (p *Planner) Cancel(ctx context.Context, ref JobRef) Response {
 	resp, stored := panickedResponse, (<-chan struct{})(nil)
-	p.locked("cancellation", func() { resp, stored = p.cancel(queue, id) })
+	p.locked("cancellation", func() { resp, stored = p.cancel(ref) })
 	return p.awaitStored(ctx, resp, stored)
 }
 
 // cancel ends a job, and returns the response, or OutcomeAccepted and a channel that is
 // closed once that is stored. The caller holds the lock.
-func (p *Planner) cancel(queue, id string) (Response, <-chan struct{}) {
+func (p *Planner) cancel(ref JobRef) (Response, <-chan struct{}) {
 	if p.ctx == nil {
 		return startingResponse, nil
 	}
-	j, resp := p.findJob(queue, id)
+	j, resp := p.findJob(ref)
 	if j == nil {
 		return resp, nil
 	}
@@ -204,11 +207,11 @@
 
 // findJob returns a job, or the response for a job that is not found. The
 // caller holds the lock.
-func (p *Planner) findJob(queue, id string) (*job, Response) {
-	if j := p.jobs[id]; j != nil && j.spec.Queue == queue {
+func (p *Planner) findJob(ref JobRef) (*job, Response) {
+	if j := p.jobs[ref.ID]; j != nil && ref.names(j.spec.Queue, j.spec.ID, j.spec.Path) {
 		return j, Response{}
 	}
-	if p.unreadable[id] {
+	if p.unreadable[ref.ID] {
 		return nil, Response{Outcome: OutcomeUnavailable, Reason: "the record of the job is damaged"}
 	}
 	if p.ended || p.Term.SinceLastCommit() > term.LeaseDuration {
@@ -218,10 +221,10 @@
 }
 
 // State returns the state of a job.
-func (p *Planner) State(queue, id string) Response {
+func (p *Planner) State(ref JobRef) Response {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	j, resp := p.findJob(queue, id)
+	j, resp := p.findJob(ref)
 	switch {
 	case j == nil:
 		return resp
@@ -232,12 +235,12 @@
 }
 
 // Pending counts the jobs of a queue of which no task has started.
-func (p *Planner) Pending(queue string) Response {
+func (p *Planner) Pending(ref JobRef) Response {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
 	for _, j := range p.live {
-		if j.spec.Queue == queue && j.stored && !j.started {
+		if ref.names(j.spec.Queue, j.spec.ID, j.spec.Path) && j.stored && !j.started {
 			n++
 		}
 	}
@@ -245,8 +248,8 @@
 }
 
 // ReadState returns the stored state of a job without using a planner.
-func ReadState(ctx context.Context, store platform.Store, queue, id string) (Response, error) {
-	row, err := readRow(ctx, store, jobKey(id))
+func ReadState(ctx context.Context, store platform.Store, ref JobRef) (Response, error) {
+	row, err := readRow(ctx, store, jobKey(ref.ID))
 	if err != nil {
 		return Response{}, err
 	}
@@ -257,10 +260,10 @@
 	if err := proto.Unmarshal(row.Value, job); err != nil {
 		return Response{}, &RecordError{row.RowKey, err}
 	}
-	if job.GetQueue() != queue {
+	if !ref.names(job.GetQueue(), job.GetId(), job.GetPath()) {
 		return Response{Outcome: OutcomeNotFound}, nil
 	}
-	row, err = readRow(ctx, store, progressKey(id))
+	row, err = readRow(ctx, store, progressKey(ref.ID))
 	if err != nil {
 		return Response{}, err
 	}
