control: a row that the store rejects does not stop the planner

Cause: nothing bounded the encoded row of a job, and Term.Commit repeated a transaction that can never succeed.

Change: a job whose records would not fit is refused at once with 400. A new job is refused, a stored one fails with a record of its state alone. Progress, learned state and leases follow the limit of the settings.

--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -79,7 +79,9 @@
 	// workers with one task at a time, shares its capacity between teams under
 	// overload and refuses work that would be too late.
 	LargeServiceWorkers int
-	Timing              control.Timing
+	// MaxRowBytes is the longest value that the store accepts, or 0 for 64 KB.
+	MaxRowBytes int
+	Timing      control.Timing
 }
 
 // Server is one entry instance.
--- a/daisylugd/entry/store.go
+++ b/daisylugd/entry/store.go
@@ -249,11 +249,12 @@
 }
 
 // isStoreResponse reports whether err is a response of the store itself, that
-// is, nil, a failed precondition or a compacted history.
+// is, nil, a failed precondition, a rejected batch or a compacted history.
 func isStoreResponse(err error) bool {
 	var preconditionFailed *platform.PreconditionFailedError
+	var rejected *platform.RejectedBatchError
 	var compacted *platform.CompactedError
-	return err == nil || errors.As(err, &preconditionFailed) || errors.As(err, &compacted)
+	return err == nil || errors.As(err, &preconditionFailed) || errors.As(err, &rejected) || errors.As(err, &compacted)
 }
 
 const (
--- a/daisylugd/entry/storecodec.go
+++ b/daisylugd/entry/storecodec.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -20,6 +21,7 @@
 func encodeResponse(page platform.Page, err error) (proto.Message, error) {
 	var preconditionFailed *platform.PreconditionFailedError
 	var compacted *platform.CompactedError
+	var rejected *platform.RejectedBatchError
 	var unavailable *platform.UnavailableError
 	a := &schema.StoreAnswer{Version: page.Version, More: page.More, Now: page.Now.Milliseconds()}
 	switch {
@@ -28,6 +30,9 @@
 		page.Rows = preconditionFailed.Rows
 	case errors.As(err, &compacted):
 		a.Compacted = true
+	case errors.As(err, &rejected):
+		// An empty text would mean that the batch was applied.
+		a.Rejected = cmp.Or(rejected.Reason, "no reason given")
 	case errors.As(err, &unavailable):
 		return nil, &member.RefusedError{Kind: kindStorePath, Message: err.Error()}
 	case err != nil:
@@ -47,6 +52,9 @@
 	case a.GetCompacted():
 		return platform.Page{}, &platform.CompactedError{Table: m.GetTable(), After: m.GetAfter()}
 	}
+	if a.GetRejected() != "" {
+		return platform.Page{}, &platform.RejectedBatchError{Reason: a.GetRejected()}
+	}
 	now := time.Duration(a.GetNow()) * time.Millisecond
 	return platform.Page{Rows: decodeRows(a.GetRows()), More: a.GetMore(), Version: a.GetVersion(), Now: now}, nil
 }
--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -49,6 +49,8 @@
 	router *relay.Router
 	// registryDelay is how long a read of the registry takes.
 	registryDelay time.Duration
+	// maxRowBytes is what the planner knows of the store, or 0.
+	maxRowBytes int
 	// foreign lists and reaches the workers, if it is not nil.
 	foreign *foreignEntries
 }
@@ -151,7 +153,7 @@
 	p := New(Dependencies{
 		Term: planningTerm, Store: f.store, Registry: registry, Dialer: dialer, Adviser: f.adviser, Config: f.currentConfig,
 		Evacuations: f.knownEvacuations,
-		Timing:      timing, FormerLeasesEnd: former,
+		Timing:      timing, FormerLeasesEnd: former, MaxRowBytes: f.maxRowBytes,
 		Log: klog.Background(), Metrics: meter.NewSet(),
 	})
 	if err := p.Load(ctx); err != nil {
--- a/scheduler/control/damage_test.go
+++ b/scheduler/control/damage_test.go
@@ -182,7 +182,7 @@
 			}
 		}
 	}
-	for name, m := range map[string]proto.Message{"progress": encodeProgress(p), "job": EncodeJob(j, Queue{}, 0)} {
+	for name, m := range map[string]proto.Message{"progress": encodeProgress(p, (&Planner{}).maxRowBytes()), "job": EncodeJob(j, Queue{}, 0)} {
 		if n := proto.Size(m); n > rowBytes {
 			t.Errorf("%s: %d bytes", name, n)
 		}
--- a/scheduler/control/interference_test.go
+++ b/scheduler/control/interference_test.go
@@ -334,7 +334,7 @@
 	if err := proto.Unmarshal(rows[0].Value, m); err != nil {
 		t.Fatal(err)
 	}
-	if len(m.GetSpeeds()) == 0 || len(m.GetTimes()) == 0 || len(m.GetInterference()) == 0 || len(rows[0].Value) < maxLearnedStateBytes*8/10 {
+	if len(m.GetSpeeds()) == 0 || len(m.GetTimes()) == 0 || len(m.GetInterference()) == 0 || len(rows[0].Value) < p.maxRowBytes()*8/10 {
 		t.Errorf("%d speeds, %d queues and %d pairs in %d bytes", len(m.GetSpeeds()), len(m.GetTimes()), len(m.GetInterference()), len(rows[0].Value))
 	}
 }
--- a/scheduler/control/learnedstate.go
+++ b/scheduler/control/learnedstate.go
@@ -22,9 +22,6 @@
 // Tasks take a few seconds, so that shorter intervals would add little.
 const learnedStateInterval = 2 * time.Second
 
-// maxLearnedStateBytes bounds the row; the store accepts rows of up to 64 KB.
-const maxLearnedStateBytes = 60 << 10
-
 // learnedState holds the speeds inherited from earlier planners and the time of
 // the latest write.
 type learnedState struct {
@@ -101,19 +98,20 @@
 		m.Times = append(m.Times, t)
 	}
 	m.Interference = p.storedInterference()
-	if size := proto.Size(m); size > maxLearnedStateBytes {
+	limit := p.maxRowBytes()
+	if size := proto.Size(m); size > limit {
 		// All speeds have about the same size and get the space that the rest
 		// leaves; those of workers that do not fit are learned again.
 		speeds := m.Speeds
 		m.Speeds = nil
 		other := proto.Size(m)
-		keep := len(speeds) * max(maxLearnedStateBytes-other, 0) / max(size-other, 1) * 9 / 10
+		keep := len(speeds) * max(limit-other, 0) / max(size-other, 1) * 9 / 10
 		p.Log.V(1).Info("learned state truncated", "bytes", size, "workers", len(speeds), "kept", keep)
 		m.Speeds = speeds[:keep]
 	}
 	value, err := proto.Marshal(m)
-	if err != nil || len(value) > maxLearnedStateBytes {
-		p.Log.Error(err, "learned state not stored", "bytes", len(value), "limit", maxLearnedStateBytes)
+	if err != nil || len(value) > limit {
+		p.Log.Error(err, "learned state not stored", "bytes", len(value), "limit", limit)
 		return nil
 	}
 	return []platform.StoredRow{{RowKey: learnedStateKey, Value: value}}
--- a/scheduler/control/leaserecord.go
+++ b/scheduler/control/leaserecord.go
@@ -16,9 +16,6 @@
 // that the runs on silent workers have ended.
 var leasesKey = platform.RowKey{Table: "experience", Part: term.Part, Key: "leases"}
 
-// maxLeasesBytes bounds the row; the store accepts rows of up to 64 KB.
-const maxLeasesBytes = 60 << 10
-
 // leasesRow returns the row that a planner leaves, or nothing if it does not know
 // the store's clock. The caller holds the lock; after it, nothing may be granted.
 func (p *Planner) leasesRow(now time.Time) []platform.StoredRow {
@@ -43,8 +40,8 @@
 		m.Workers = append(m.Workers, lease)
 	}
 	value, err := proto.Marshal(m)
-	if err != nil || len(value) > maxLeasesBytes {
-		p.Log.Error(err, "leases not stored", "bytes", len(value), "limit", maxLeasesBytes)
+	if err != nil || len(value) > p.maxRowBytes() {
+		p.Log.Error(err, "leases not stored", "bytes", len(value), "limit", p.maxRowBytes())
 		return nil
 	}
 	p.Log.Info("leases left to the successor", "workers", len(m.Workers), "bytes", len(value))
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -74,9 +72,11 @@
 	// workers with one task at a time, shares its capacity between teams under
 	// overload and refuses work that would be too late.
 	LargeServiceWorkers int
-	Timing              Timing
-	Log                 klog.Logger
-	Metrics             *meter.Set
+	// MaxRowBytes is the longest value that the store accepts, or 0 for 64 KB.
+	MaxRowBytes int
+	Timing      Timing
+	Log         klog.Logger
+	Metrics     *meter.Set
 }
 
 const (
@@ -89,9 +89,6 @@
 	// maxTickGap is the longest time between two ticks of a process that was
 	// not paused.
 	maxTickGap = 400 * time.Millisecond
-	// maxBatchBytes bounds the values of one transaction, for which the store
-	// accepts 1 MB after encoding.
-	maxBatchBytes = 512 << 10
 	// stallThreshold is how long a transaction may remain without a response
 	// before new jobs are refused instead of waiting for it.
 	stallThreshold = 700 * time.Millisecond
@@ -171,6 +168,11 @@
 	dirty        bool
 	// onStored are called when the changes so far are stored.
 	onStored []func()
+	// waiters are the calls that wait for that, each with room for a response.
+	waiters []chan<- Response
+	// reduced is set if the store has rejected the progress, so that only the state is
+	// stored.
+	reduced bool
 	// placementCount is the number of the job's placements.
 	placementCount int
 	started        bool
@@ -297,175 +299,6 @@
 	}
 }
 
-// commitLoop makes decisions, stores the changes and then applies their
-// effects, until the term ends.
-func (p *Planner) commitLoop(ctx context.Context) error {
-	renew := time.NewTimer(term.RenewInterval)
-	defer renew.Stop()
-	for {
-		renewalDue := false
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-p.wakeups:
-		case <-renew.C:
-			renewalDue = true
-		}
-		var c changes
-		p.locked("collecting changes", func() { c = p.collectChanges(renewalDue) })
-		if c.resigning {
-			return p.Term.Resign(ctx, c.writes)
-		}
-		if !c.due {
-			continue
-		}
-		err := p.Term.Commit(ctx, c.writes, c.removes)
-		more := false
-		p.locked("applying stored changes", func() { more = p.applyStored(c, err) })
-		if err != nil {
-			var superseded *term.SupersededError
-			if errors.As(err, &superseded) {
-				p.Log.Info("term ended, another planner took over", "successor", superseded.By.Name, "successorgeneration", superseded.By.Generation)
-			}
-			return err
-		}
-		if more {
-			p.wake()
-		}
-		renew.Reset(term.RenewInterval)
-	}
-}
-
-// changes are what a transaction stores.
-type changes struct {
-	writes  []platform.StoredRow
-	removes []platform.RowKey
-	// onStored are called once the changes are stored; obsolete jobs are forgotten then.
-	onStored []jobCallback
-	obsolete []*job
-	// due is set if there is a transaction to make, resigning if it is the last one of
-	// the term.
-	due, resigning bool
-}
-
-// jobCallback is called once a change of a job is stored.
-type jobCallback struct {
-	job *job
-	f   func()
-}
-
-// collectChanges makes a decision and returns what is to be stored. The caller holds
-// the lock.
-func (p *Planner) collectChanges(renewalDue bool) changes {
-	if p.resigning {
-		p.ended = true
-		return changes{resigning: true, writes: p.leasesRow(time.Now())}
-	}
-	p.reinstate(time.Now())
-	p.decideSafely(time.Now())
-	var c changes
-	c.writes, c.onStored = p.collectWrites()
-	c.removes, c.obsolete = p.obsoleteJobs(time.Now(), term.MaxChanges-len(c.writes))
-	c.due = len(c.writes)+len(c.removes) > 0 || renewalDue
-	if !c.due {
-		return c
-	}
-	if len(c.writes)+len(c.removes) < term.MaxChanges {
-		c.writes = append(c.writes, p.learnedStateRow(time.Now())...)
-	}
-	p.commitStart = time.Now()
-	return c
-}
-
-// applyStored applies the effects of changes that a transaction has stored, unless it
-// failed, and reports whether there may be more to store. The caller holds the lock.
-func (p *Planner) applyStored(c changes, err error) bool {
-	p.instruments.commit.UpdateDuration(p.commitStart)
-	p.commitStart = time.Time{}
-	if err != nil {
-		return false
-	}
-	for _, stored := range c.onStored {
-		p.contain(stored.job, "stored change", stored.f)
-	}
-	for _, j := range c.obsolete {
-		delete(p.jobs, j.spec.ID)
-	}
-	return len(p.dirty)+len(c.onStored) > 0
-}
-
-// collectWrites returns the rows and callbacks of changed jobs, as many as fit
-// into one transaction. The caller holds the lock.
-func (p *Planner) collectWrites() ([]platform.StoredRow, []jobCallback) {
-	var writes []platform.StoredRow
-	var callbacks []jobCallback
-	size, taken := 0, 0
-	for _, j := range p.dirty {
-		var rows []platform.StoredRow
-		err := errNotEncoded
-		p.contain(j, "encoding of a job", func() { rows, err = j.encodeRows(p.clock) })
-		if err != nil {
-			p.Log.Error(err, "job cannot be encoded", "job", j.spec.ID)
-			taken++
-			continue
-		}
-		for i := range rows {
-			size += len(rows[i].Value)
-		}
-		if len(writes)+len(rows) > term.MaxChanges || size > maxBatchBytes && len(writes) > 0 {
-			break
-		}
-		taken++
-		writes = append(writes, rows...)
-		state := j.progress.State
-		callbacks = append(callbacks, jobCallback{j, func() {
-			j.stored = true
-			j.visibleState = state
-		}})
-		for _, f := range j.onStored {
-			callbacks = append(callbacks, jobCallback{j, f})
-		}
-		j.onStored, j.dirty = nil, false
-	}
-	p.dirty = slices.Delete(p.dirty, 0, taken)
-	return writes, callbacks
-}
-
-// errNotEncoded is the error of a job whose encoding did not return.
-var errNotEncoded = errors.New("encoding did not return")
-
-const (
-	// retentionFactor is the multiple of Timing.Retention after which an ended
-	// job is deleted.
-	retentionFactor = 2
-	// cleanupInterval is the time between two searches for obsolete jobs.
-	cleanupInterval = 1 * time.Second
-	// rowsPerJob is the number of rows of a job.
-	rowsPerJob = 2
-)
-
-// obsoleteJobs returns the rows of jobs that ended long ago, at most limit
-// rows, and the jobs. The caller holds the lock.
-func (p *Planner) obsoleteJobs(now time.Time, limit int) ([]platform.RowKey, []*job) {
-	if now.Sub(p.lastCleanup) < cleanupInterval {
-		return nil, nil
-	}
-	p.lastCleanup = now
-	var removes []platform.RowKey
-	var jobs []*job
-	for id, j := range p.jobs {
-		if len(removes)+rowsPerJob > limit {
-			break
-		}
-		old := j.visibleState.Final() && now.Sub(j.progress.Ended) > retentionFactor*p.Timing.Retention
-		if old && !j.dirty && j.placementCount == 0 {
-			removes = append(removes, jobKey(id), progressKey(id))
-			jobs = append(jobs, j)
-		}
-	}
-	return removes, jobs
-}
-
 // pollRegistry reads the registry until ctx ends.
 func (p *Planner) pollRegistry(ctx context.Context) error {
 	ticker := time.NewTicker(registryPollInterval)
--- a/scheduler/control/progress.go
+++ b/scheduler/control/progress.go
@@ -31,7 +31,9 @@
 	return "column " + e.Column + " does not match the number of tasks or processes"
 }
 
-func encodeProgress(p *batch.Progress) *schema.BatchProgress {
+// encodeProgress returns the record of the progress, without checkpoints if it would
+// have more than maxBytes otherwise.
+func encodeProgress(p *batch.Progress, maxBytes int) *schema.BatchProgress {
 	r := &schema.BatchProgress{State: int32(p.State), Steps: make([]*schema.StepProgress, len(p.Steps)), Format: progressFormat}
 	if !p.Ended.IsZero() {
 		r.Ended = p.Ended.UnixMilli()
@@ -40,7 +42,7 @@
 	for i := range p.Steps {
 		r.Steps[i] = encodeTasks(p.Steps[i].Tasks, r, indexes)
 	}
-	if proto.Size(r) > maxProgressBytes {
+	if proto.Size(r) > maxBytes {
 		// Without checkpoints, work is repeated if a planner takes over. A row
 		// that exceeds the store's limit would keep all others from being
 		// stored.
@@ -51,9 +53,6 @@
 	return r
 }
 
-// maxProgressBytes bounds the record; the store accepts rows of up to 64 KB.
-const maxProgressBytes = 60 << 10
-
 // encodeTasks encodes the columns of a step. For a task that is done only the
 // state is stored.
 func encodeTasks(tasks []batch.Task, r *schema.BatchProgress, indexes map[workerProcess]int32) *schema.StepProgress {
--- a/scheduler/control/progress_test.go
+++ b/scheduler/control/progress_test.go
@@ -36,7 +36,7 @@
 			}
 		}
 		p.Recount()
-		stored, err := proto.Marshal(encodeProgress(p))
+		stored, err := proto.Marshal(encodeProgress(p, (&Planner{}).maxRowBytes()))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -91,7 +91,7 @@
 		p.Steps[0].Tasks[i] = batch.Task{State: batch.TaskPlaced, Run: 1, Worker: fmt.Sprintf("i-%08x", i/4), WorkerIncarnation: 1796379235037}
 	}
 	const bytesPerTask = 10
-	if n := proto.Size(encodeProgress(p)); n > 100*bytesPerTask {
+	if n := proto.Size(encodeProgress(p, (&Planner{}).maxRowBytes())); n > 100*bytesPerTask {
 		t.Errorf("%d bytes", n)
 	}
 }
--- a/scheduler/control/record.go
+++ b/scheduler/control/record.go
@@ -92,9 +92,12 @@
 	return s
 }
 
-// encodeRows returns the rows that store the job.
-func (j *job) encodeRows(clock storeClock) ([]platform.StoredRow, error) {
-	record := encodeProgress(j.progress)
+// encodeRows returns the rows that store the job, the progress in at most maxBytes.
+func (j *job) encodeRows(clock storeClock, maxBytes int) ([]platform.StoredRow, error) {
+	record := &schema.BatchProgress{State: int32(j.progress.State), Format: progressFormat}
+	if !j.reduced {
+		record = encodeProgress(j.progress, maxBytes)
+	}
 	record.Concluded = clock.toStore(j.progress.Ended)
 	progress, err := proto.Marshal(record)
 	if err != nil {
--- a/scheduler/control/submission.go
+++ b/scheduler/control/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -65,7 +66,7 @@
 		return Response{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
 	p.awaitRegistry(ctx)
-	resp, stored := panickedResponse, (<-chan struct{})(nil)
+	resp, stored := panickedResponse, (<-chan Response)(nil)
 	p.locked("submission", func() { resp, stored = p.admit(spec, q, guaranteed) })
 	return p.awaitStored(ctx, resp, stored)
 }
@@ -73,9 +74,9 @@
 // panickedResponse is the response to a call whose processing panicked.
 var panickedResponse = Response{Outcome: OutcomeUnknown, Reason: "the call met a fault of the planner"}
 
-// admit adds a job unless it is known, and returns the response, or OutcomeAccepted and
-// a channel that is closed once the job is stored. The caller holds the lock.
-func (p *Planner) admit(spec *batch.Job, q Queue, guaranteed int64) (Response, <-chan struct{}) {
+// admit adds a job unless it is known, and returns the response, or a channel for it if
+// it depends on the store. The caller holds the lock.
+func (p *Planner) admit(spec *batch.Job, q Queue, guaranteed int64) (Response, <-chan Response) {
 	if p.unreadable[spec.ID] {
 		return Response{Outcome: OutcomeUnknown, Reason: "the record of the job is damaged"}, nil
 	}
@@ -84,6 +85,9 @@
 		return Response{Outcome: OutcomeInvalid, Reason: "another queue has a job with this id"}, nil
 	}
 	if j == nil {
+		if err := p.checkSize(spec, q, guaranteed); err != nil {
+			return Response{Outcome: OutcomeInvalid, Reason: err.Error()}, nil
+		}
 		if resp := p.checkAdmission(spec, q); resp.Outcome != 0 {
 			return resp, nil
 		}
@@ -111,25 +115,30 @@
 	}
 }
 
-// storedSignal returns a channel that is closed once the job's changes are stored, or
+// storedSignal returns a channel for the response once the job's changes are stored, or
 // nil if they are. The caller holds the lock.
-func (p *Planner) storedSignal(j *job, stored bool) <-chan struct{} {
+func (p *Planner) storedSignal(j *job, stored bool) <-chan Response {
 	if stored {
 		return nil
 	}
-	done := make(chan struct{})
-	p.markDirty(j, func() { close(done) })
+	// The job is stored or refused, not both.
+	done := make(chan Response, 1)
+	j.waiters = append(j.waiters, done)
+	p.markDirty(j, func() {
+		j.waiters = slices.DeleteFunc(j.waiters, func(w chan<- Response) bool { return w == done })
+		done <- Response{Outcome: OutcomeAccepted}
+	})
 	return done
 }
 
-// awaitStored returns the response once the channel is closed, or at once if it is nil.
-func (p *Planner) awaitStored(ctx context.Context, resp Response, stored <-chan struct{}) Response {
+// awaitStored returns the response from the channel, or resp at once if it is nil.
+func (p *Planner) awaitStored(ctx context.Context, resp Response, stored <-chan Response) Response {
 	if stored == nil {
 		return resp
 	}
 	p.wake()
 	select {
-	case <-stored:
+	case resp := <-stored:
 		return resp
 	case <-ctx.Done():
 	case <-p.ctx.Done():
@@ -185,14 +194,14 @@
 
 // Cancel cancels a job. It returns when the cancellation is stored or ctx ends.
 func (p *Planner) Cancel(ctx context.Context, ref JobRef) Response {
-	resp, stored := panickedResponse, (<-chan struct{})(nil)
+	resp, stored := panickedResponse, (<-chan Response)(nil)
 	p.locked("cancellation", func() { resp, stored = p.cancel(ref) })
 	return p.awaitStored(ctx, resp, stored)
 }
 
-// cancel ends a job, and returns the response, or OutcomeAccepted and a channel that is
-// closed once that is stored. The caller holds the lock.
-func (p *Planner) cancel(ref JobRef) (Response, <-chan struct{}) {
+// cancel ends a job, and returns the response, or a channel for it if it depends on the
+// store. The caller holds the lock.
+func (p *Planner) cancel(ref JobRef) (Response, <-chan Response) {
 	if p.ctx == nil {
 		return startingResponse, nil
 	}
--- a/scheduler/platform/memory/store.go
+++ b/scheduler/platform/memory/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	compacted int64
 	rows      map[platform.RowKey]platform.StoredRow
 	changed   chan struct{}
+	// maxValueBytes limits the value of a row, or is 0.
+	maxValueBytes int
 }
 
 // initialUptime is the uptime of a new store, on the clock in Page.Now.
@@ -46,6 +49,13 @@
 	return &Store{Injector: NewInjector("store", seed), content: s.content}
 }
 
+// LimitValues makes the store reject batches with a value of more than n bytes.
+func (s *Store) LimitValues(n int) {
+	s.content.mu.Lock()
+	defer s.content.mu.Unlock()
+	s.content.maxValueBytes = n
+}
+
 // Compact discards the history up to the current version.
 func (s *Store) Compact() {
 	s.content.mu.Lock()
@@ -90,6 +100,11 @@
 func (c *storeContent) apply(b platform.Batch) (int64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, w := range b.Writes {
+		if c.maxValueBytes > 0 && len(w.Value) > c.maxValueBytes {
+			return 0, &platform.RejectedBatchError{Reason: fmt.Sprintf("row %s/%s has %d bytes", w.Table, w.Key, len(w.Value))}
+		}
+	}
 	var current []platform.StoredRow
 	satisfied := true
 	for _, g := range b.Guards {
--- a/scheduler/platform/store.go
+++ b/scheduler/platform/store.go
@@ -93,6 +93,12 @@
 	return fmt.Sprintf("row %s/%s is at version %d", e.Rows[0].Table, e.Rows[0].Key, e.Rows[0].Version)
 }
 
+// RejectedBatchError reports a batch that the store will never apply because of its
+// content, such as a value that is too long. Nothing was applied.
+type RejectedBatchError struct{ Reason string }
+
+func (e *RejectedBatchError) Error() string { return "store rejects the batch: " + e.Reason }
+
 // CompactedError reports that the requested history is no longer kept.
 type CompactedError struct {
 	Table string
--- a/scheduler/term/term.go
+++ b/scheduler/term/term.go
@@ -141,8 +141,9 @@
 
 // Commit applies changes under the term and returns when they have taken
 // effect. It retries a transaction that got no response: the first copy that is
-// applied invalidates the others. The error is *SupersededError or that of ctx;
-// after the latter the outcome is unknown.
+// applied invalidates the others. The error is *SupersededError,
+// *platform.RejectedBatchError, after which the term goes on and nothing has taken
+// effect, or that of ctx, after which the outcome is unknown.
 func (t *Term) Commit(ctx context.Context, writes []platform.StoredRow, removes []platform.RowKey) error {
 	sequence := t.leader.sequence + 1
 	value, err := proto.Marshal(&schema.Term{
@@ -165,6 +166,7 @@
 		version, err := t.elector.store.Apply(attemptCtx, batch)
 		cancel()
 		var precondition *platform.PreconditionFailedError
+		var rejected *platform.RejectedBatchError
 		switch {
 		case err == nil:
 			t.recordCommit(version, sequence, start)
@@ -179,6 +181,8 @@
 			}
 			t.recordCommit(current.Version, sequence, start)
 			return nil
+		case errors.As(err, &rejected):
+			return err
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
@@ -237,11 +241,16 @@
 	return fmt.Sprintf("resigned from term with generation %d", e.Generation)
 }
 
-// Resign ends the term with the writes, clears the leader's name in the row and
+// Resign ends the term with the writes, if the store accepts them, clears the leader's name in the row and
 // returns *ResignedError on success.
 func (t *Term) Resign(ctx context.Context, writes []platform.StoredRow) error {
 	t.leader.Name = ""
-	if err := t.Commit(ctx, writes, nil); err != nil {
+	err := t.Commit(ctx, writes, nil)
+	var rejected *platform.RejectedBatchError
+	if errors.As(err, &rejected) && len(writes) > 0 {
+		err = t.Commit(ctx, nil, nil)
+	}
+	if err != nil {
 		return err
 	}
 	return &ResignedError{Generation: t.leader.Generation}
--- a/scheduler/term/term_test.go
+++ b/scheduler/term/term_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -198,3 +199,26 @@
 		}
 	})
 }
+
+// TestRejectedBatch guards against a transaction that is repeated for ever although the
+// store rejects it for its content, and against a term that ends by it.
+func TestRejectedBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.NewStore(1)
+		term := acquireTerm(t, s, "a")
+		s.LimitValues(100)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var rejected *platform.RejectedBatchError
+		if err := term.Commit(ctx, singleRow(strings.Repeat("x", 101)), nil); !errors.As(err, &rejected) {
+			t.Errorf("error %v", err)
+		}
+		if err := term.Commit(ctx, singleRow("short"), nil); err != nil || readValue(t, s) != "short" {
+			t.Errorf("the next transaction: error %v, value %q", err, readValue(t, s))
+		}
+		var resigned *ResignedError
+		if err := term.Resign(ctx, singleRow(strings.Repeat("x", 101))); !errors.As(err, &resigned) {
+			t.Errorf("resigning: error %v", err)
+		}
+	})
+}
