control: a run that may have ended as its worker left waits for its lease

Cause: a worker that has announced its exit, is not listed any more and does not respond runs nothing, so that all its runs were given up at once. The response that listed the end of one had got lost.

Change: only runs that cannot have ended since the worker's latest response, by their progress, by other members of their gang or because they are long-running, are given up at once. The others count until their lease has expired.

Tests: two rows of TestEndLostWithLeavingWorker failed before (2 starts soon after the exit, want 1); all pass now.

--- a/scheduler/control/end.go
+++ b/scheduler/control/end.go
@@ -42,6 +42,9 @@
 		p.requeue(pl)
 	}
 	if e.Outcome != platform.RunDone && pl.step.Gang {
+		for _, m := range p.gangMembers(pl) {
+			m.unfinished = true
+		}
 		p.stopGang(pl)
 	}
 }
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -123,6 +123,8 @@
 	startedAt     time.Time
 	progressedAt  time.Time
 	good, stalled bool
+	// unfinished is set if another member of the gang has ended without success.
+	unfinished bool
 	// sent is set once the start request was sent, outcomeUnknown if an attempt
 	// got no response.
 	sent, outcomeUnknown bool
@@ -401,7 +403,7 @@
 		p.Log.Info("worker does not respond", "worker", w.info.ID, "error", err, "placements", len(w.placements))
 	}
 	if p.exited(w) {
-		p.loseRuns(w, "worker exited")
+		p.loseUnendedRuns(w, time.Now())
 	}
 	if !w.credible(time.Now()) {
 		return idlePollInterval
