assignment: a long-running gang that is away is placed like a single task

Cause: the rule that places long-running work that has been away for 1.5 s before other work and in room kept for urgent work left gangs out.

Change: it holds for gangs, whose members must all fit twice over.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -442,18 +442,18 @@
 // plenty of free capacity.
 const placementTimeout = 1500 * time.Millisecond
 
-// isOverdue reports whether a long-running task that ran before has waited for
+// isOverdue reports whether a long-running task or gang that ran before has waited for
 // placementTimeout.
 func (g *Group) isOverdue(now time.Time) bool {
-	return g.Restarts && !g.Gang && now.Sub(g.ReadySince) >= placementTimeout
+	return g.Restarts && now.Sub(g.ReadySince) >= placementTimeout
 }
 
 // mayRelaxPlacement reports whether the tasks should stop waiting for better
 // workers: they have waited for placementTimeout, less than half of the service's
 // capacity is in use unless they are overdue, and they fit twice, on workers that need
-// not be approved yet. If no run of the job is in progress and its tasks can start one
-// by one, one task has to fit: any more would be stopped again for the expected urgent
-// work.
+// not be approved yet. If no run of the job is in progress or the tasks are overdue, and
+// they can start one by one, one task has to fit: any more would be stopped again for
+// the expected urgent work.
 func (d *decider) mayRelaxPlacement(g *Group) bool {
 	if d.view.Now.Sub(g.ReadySince) < placementTimeout {
 		return false
@@ -469,7 +469,7 @@
 	}
 	tasks, need := len(g.Indexes), g.totalNeed()
 	overdue := g.isOverdue(d.view.Now)
-	if overdue || g.Idle && !g.Gang {
+	if (overdue || g.Idle) && !g.Gang {
 		tasks, need = 1, g.Need
 	}
 	half := batch.Resources{MilliCPU: total.MilliCPU / 2, MemoryMB: total.MemoryMB / 2, Accelerators: total.Accelerators / 2}
--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -512,6 +512,28 @@
 			fill(&v, 8, 0, 1, 2)
 			return v
 		}, 1},
+		{"a gang, room kept for urgent work", func() View {
+			g := gangGroup("lasting", 2, 8)
+			g.Priority, g.Restarts, g.Adjacent, g.ReadySince = 2, true, false, now.Add(-placementTimeout)
+			v := View{Workers: idleRacks(2), Groups: []Group{g}, Reserve: 64}
+			fill(&v, 8, span(0, 9)...)
+			return v
+		}, 2},
+		{"a gang without room twice over, room kept for urgent work", func() View {
+			g := gangGroup("lasting", 2, 8)
+			g.Priority, g.Restarts, g.Adjacent, g.ReadySince = 2, true, false, now.Add(-placementTimeout)
+			v := View{Workers: idleRacks(1), Groups: []Group{g}, Reserve: 64}
+			fill(&v, 8, span(0, 4)...)
+			return v
+		}, 0},
+		{"a gang behind a blocked gang", func() View {
+			wide, g := gangGroup("gang", 6, 8), gangGroup("lasting", 2, 8)
+			wide.Priority, wide.Adjacent, wide.ReadySince = 1, false, now.Add(-10*time.Second)
+			g.Priority, g.Restarts, g.Adjacent, g.ReadySince = 2, true, false, now.Add(-placementTimeout)
+			v := View{Workers: idleRacks(1), Groups: []Group{wide, g}}
+			fill(&v, 8, 0, 1, 2)
+			return v
+		}, 2},
 		{"room kept for urgent work", func() View {
 			v := View{Workers: idleRacks(1), Groups: []Group{newTask()}, Reserve: 64}
 			fill(&v, 8, span(0, 3)...)
