--- a/scheduler/control/recovery_test.go
+++ b/scheduler/control/recovery_test.go
@@ -52,7 +52,7 @@
 }
 
 func (r *unhealthyRunner) Start(ctx context.Context, request platform.StartRequest) (time.Duration, error) {
-	if request.Run.Task.Job == r.job {
+	if request.Task.Job == r.job {
 		*r.refused++
 		return 0, &platform.UnhealthyError{Status: 503}
 	}
