--- a/scheduler/control/start.go
+++ b/scheduler/control/start.go
@@ -34,7 +34,6 @@
 		id := batch.TaskID{Job: g.Job, Occurrence: g.Occurrence, Step: g.Step, Index: s.Index}
 		t := j.progress.Task(j.spec, id)
 		pl := w.placements[id]
-		p.processing = j
 		t.State, t.Run, t.Worker, t.WorkerIncarnation, t.Checkpoint = batch.TaskPlaced, pl.run, w.info.ID, w.incarnation, pl.checkpoint
 	}
 	p.processing = nil
