--- a/daisylugd/trial/cluster_test.go
+++ b/daisylugd/trial/cluster_test.go
@@ -50,8 +50,12 @@
 	name    string
 	command []string
 	api     string
-	cmd     *exec.Cmd
-	logFile *os.File
+	// environment is added to that of the test.
+	environment []string
+	// descriptors limits the open files of the process; 0 leaves the limit as it is.
+	descriptors int
+	cmd         *exec.Cmd
+	logFile     *os.File
 }
 
 // cluster is a stand-in platform with instances in three data centres.
@@ -81,6 +85,12 @@
 }
 
 func newCluster(t *testing.T) *cluster {
+	return newClusterWith(t, func(*process) {})
+}
+
+// newClusterWith is like newCluster and lets adapt change each instance before it
+// starts.
+func newClusterWith(t *testing.T, adapt func(*process)) *cluster {
 	number := clusterCount.Add(1)
 	// The folder is created before the cleanup is registered, so that the logs
 	// still exist when the cleanup runs.
@@ -110,6 +120,7 @@
 	c.start(c.standin)
 	c.awaitOK("http://" + c.platformAddress + "/control/table")
 	for _, p := range c.instances {
+		adapt(p)
 		c.start(p)
 	}
 	for _, p := range c.instances {
@@ -132,6 +143,11 @@
 	}
 	p.logFile = log
 	p.cmd = exec.Command(filepath.Join(binDir, p.command[0]), p.command[1:]...)
+	if p.descriptors > 0 {
+		limited := []string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors), p.cmd.Path}
+		p.cmd = exec.Command("sh", append(limited, p.command[1:]...)...)
+	}
+	p.cmd.Env = append(os.Environ(), p.environment...)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
 	if err := p.cmd.Start(); err != nil {
