member: a failure to accept does not end the instance

Seen: 1,200 connections to the port for instances end the process with "use of closed network connection". Cause: the listener closed itself at the first failure of Accept, also for want of a descriptor, and its end is the end of the group and of the process. Accepted sessions without a handshake were kept in any number. Change: Accept is called again unless the listener was closed. Result: TestCrowdOfConnections/one_byte_is_sent_to_the_port_for_instances failed before (the process ended with 503 sockets), passes now. TestAcceptGoesOnAfterFailures needs the seam newTCP, so that it does not build on the former code.

--- a/scheduler/member/group.go
+++ b/scheduler/member/group.go
@@ -26,6 +26,8 @@
 
 	ready    chan struct{}
 	handlers sync.Map // Handler by method name
+	// handshakes are those of sessions that other instances have opened.
+	handshakes handshakes
 
 	mu   sync.Mutex
 	self platform.Instance
@@ -167,10 +169,15 @@
 			}
 			return err
 		}
+		g.handshakes.begin(session)
 		g.mu.Lock()
-		ok := g.spawn(func(ctx context.Context) { g.acceptHandshake(ctx, session) })
+		ok := g.spawn(func(ctx context.Context) {
+			defer g.handshakes.end(session)
+			g.acceptHandshake(ctx, session)
+		})
 		g.mu.Unlock()
 		if !ok {
+			g.handshakes.end(session)
 			_ = session.Close()
 		}
 	}
--- a/scheduler/member/tcp.go
+++ b/scheduler/member/tcp.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"slices"
@@ -20,6 +21,8 @@
 	streamOpenTimeout      = 2 * time.Second
 	streamCloseTimeout     = 5 * time.Second
 	acceptBacklog          = 64
+	// acceptRetryDelay is the delay after a connection could not be accepted.
+	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // TCP is a Transport that runs one yamux session on each TCP connection.
@@ -39,13 +42,18 @@
 	if err != nil {
 		return nil, err
 	}
+	return newTCP(l), nil
+}
+
+// newTCP returns a transport that accepts connections of a listener.
+func newTCP(l net.Listener) *TCP {
 	t := &TCP{
 		listener: l,
 		incoming: make(chan Session, acceptBacklog),
 		done:     make(chan struct{}),
 	}
 	go t.acceptLoop()
-	return t, nil
+	return t
 }
 
 // Addr returns the listen address.
@@ -90,13 +98,19 @@
 	}
 }
 
+// acceptLoop accepts connections until the listener is closed.
 func (t *TCP) acceptLoop() {
 	for {
 		c, err := t.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			_ = t.Close()
 			return
 		}
+		if err != nil {
+			// The process has no descriptor left, or the peer has disconnected.
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		s, err := yamux.Server(&countingConn{Conn: c, transport: t}, sessionConfig())
 		if err != nil {
 			_ = c.Close()
