--- a/daisylugd/entry/config.go
+++ b/daisylugd/entry/config.go
@@ -57,6 +57,9 @@
 	}
 	e.log.Info("configuration applied", "version", next.Config().Version, "former", e.configVersion())
 	e.snapshot.Store(&next)
+	if e.services.ConfigApplied != nil {
+		e.services.ConfigApplied(next)
+	}
 	e.group.SetConfigVersion(uint64(next.Config().Version))
 	if p := e.planner.Load(); p != nil {
 		p.Wake()
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -52,6 +52,8 @@
 	Adviser platform.Adviser
 	Source  Source
 	Peers   member.Transport
+	// ConfigApplied, if set, is called with each configuration that takes effect.
+	ConfigApplied func(Snapshot)
 }
 
 // Settings configures an instance.
