--- a/scheduler/batch/job.go
+++ b/scheduler/batch/job.go
@@ -140,9 +140,11 @@
 	return j.FirstDue.Add(time.Duration(occurrence) * j.Interval)
 }
 
+// MaxSteps is the maximum number of steps of a job.
+const MaxSteps = 64
+
 // Limits on a job.
 const (
-	maxSteps   = 64
 	maxTasks   = 4096
 	maxPayload = 4000
 	// maxTaskRuns limits the tasks of all occurrences together, because their
@@ -163,8 +165,8 @@
 	switch {
 	case len(j.Payload) > maxPayload:
 		return &InvalidError{"payload", fmt.Sprintf("has more than %d bytes", maxPayload)}
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
-		return &InvalidError{"steps", fmt.Sprintf("must be 1 to %d", maxSteps)}
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return &InvalidError{"steps", fmt.Sprintf("must be 1 to %d", MaxSteps)}
 	case j.Occurrences < 0 || j.Interval < 0:
 		return &InvalidError{"occurrences", "must not be negative"}
 	}
