control: accepted jobs have a part of the memory

Seen: jobs of 56 KB within all limits are accepted and kept whole, 1,500 of them take an instance with 96 MB over its memory, whether they wait or have ended; each planner that takes over loads them all. Cause: the planner kept the whole of a job until twice the retention after its end, deleted at most 50 a second, and nothing bounded the jobs together. Change: of a job that has ended, id, path and state are kept once they are stored and its runs are gone; a planner that takes over reads outcomes alone. Jobs that have not ended may take a fifth of the memory, at most 64 MB, the outcomes a twelfth. A submission beyond is refused before it is stored, with a time to return. A job that does not fit into a row is refused by the instance that receives it. finished() of the trust tests looks at the kept outcomes as well, where ended jobs are now.

--- a/daisylugd/entry/call.go
+++ b/daisylugd/entry/call.go
@@ -73,6 +73,9 @@
 		return control.Response{Outcome: control.OutcomeInvalid, Reason: err.Error()}
 	}
 	record := control.EncodeJob(j, q, guaranteed)
+	if err := control.CheckSize(record, j, e.settings.MaxRowBytes); err != nil {
+		return control.Response{Outcome: control.OutcomeInvalid, Reason: err.Error()}
+	}
 	request := func() proto.Message {
 		return &schema.Submission{Job: record, Age: time.Since(j.AcceptedAt).Milliseconds()}
 	}
--- a/daisylugd/entry/election.go
+++ b/daisylugd/entry/election.go
@@ -194,7 +194,7 @@
 	p := control.New(control.Dependencies{
 		Term: t, FormerLeasesEnd: former, Store: e.services.Store, Registry: e.services.Registry, Dialer: e.router,
 		Adviser: e.services.Adviser,
-		Config:  e.currentConfig, Evacuations: e.knownEvacuations, LargeServiceWorkers: e.settings.LargeServiceWorkers, MaxRowBytes: e.settings.MaxRowBytes, Timing: e.settings.Timing,
+		Config:  e.currentConfig, Evacuations: e.knownEvacuations, LargeServiceWorkers: e.settings.LargeServiceWorkers, MaxRowBytes: e.settings.MaxRowBytes, Memory: e.settings.Memory, Timing: e.settings.Timing,
 		Log: e.log.WithValues("generation", t.Generation()), Metrics: e.metrics,
 	})
 	if err := t.RunWithRenewal(ctx, p.Load); err != nil {
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -83,7 +83,9 @@
 	LargeServiceWorkers int
 	// MaxRowBytes is the longest value that the store accepts, or 0 for 64 KB.
 	MaxRowBytes int
-	Timing      control.Timing
+	// Memory is what the process may use, in bytes, or 0 for 256 MB.
+	Memory int64
+	Timing control.Timing
 }
 
 // Server is one entry instance.
--- a/scheduler/control/commit.go
+++ b/scheduler/control/commit.go
@@ -133,6 +133,7 @@
 		for _, f := range c.onStored {
 			p.contain(c.job, "stored change", f)
 		}
+		p.reduceIfEnded(c.job)
 	}
 	if len(p.dirty)+len(changes) > 0 {
 		p.wake()
@@ -175,38 +176,6 @@
 // errNotEncoded is the error of a job whose encoding did not return.
 var errNotEncoded = errors.New("encoding did not return")
 
-const (
-	// retentionFactor is the multiple of Timing.Retention after which an ended
-	// job is deleted.
-	retentionFactor = 2
-	// cleanupInterval is the time between two searches for obsolete jobs.
-	cleanupInterval = 1 * time.Second
-	// rowsPerJob is the number of rows of a job.
-	rowsPerJob = 2
-)
-
-// obsoleteJobs returns the removal of jobs that ended long ago, at most limit
-// rows. The caller holds the lock.
-func (p *Planner) obsoleteJobs(now time.Time, limit int) []change {
-	if now.Sub(p.lastCleanup) < cleanupInterval {
-		return nil
-	}
-	p.lastCleanup = now
-	var changes []change
-	for id, j := range p.jobs {
-		if (len(changes)+1)*rowsPerJob > limit {
-			break
-		}
-		old := j.visibleState.Final() && now.Sub(j.progress.Ended) > retentionFactor*p.Timing.Retention
-		if old && !j.dirty && j.placementCount == 0 {
-			changes = append(changes, change{
-				job: j, removes: []platform.RowKey{jobKey(id), progressKey(id)}, onStored: []func(){func() { delete(p.jobs, id) }},
-			})
-		}
-	}
-	return changes
-}
-
 // rejectionBackoff is how long the learned state is not written after the store has
 // rejected it.
 const rejectionBackoff = time.Minute
@@ -239,7 +208,7 @@
 func (p *Planner) refuseUnstored(j *job, cause error) {
 	p.endJob(j, batch.JobFailed)
 	p.stopJob(j)
-	delete(p.jobs, j.spec.ID)
+	p.forget(j)
 	p.dirty = slices.DeleteFunc(p.dirty, func(other *job) bool { return other == j })
 	for _, waiter := range j.waiters {
 		waiter <- Response{Outcome: OutcomeInvalid, Reason: cause.Error()}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -74,9 +74,12 @@
 	LargeServiceWorkers int
 	// MaxRowBytes is the longest value that the store accepts, or 0 for 64 KB.
 	MaxRowBytes int
-	Timing      Timing
-	Log         klog.Logger
-	Metrics     *meter.Set
+	// Memory is what the process may use, in bytes, or 0 for 256 MB. A part of it
+	// bounds the accepted jobs.
+	Memory  int64
+	Timing  Timing
+	Log     klog.Logger
+	Metrics *meter.Set
 }
 
 const (
@@ -102,8 +105,13 @@
 	group     *errgroup.Group
 	ctx       context.Context
 
-	mu   sync.Mutex
-	jobs map[string]*job
+	mu sync.Mutex
+	// jobs holds the jobs that have not ended, and those that have as long as their end
+	// is not stored or runs of them are left. jobBytes is about what they take.
+	jobs      map[string]*job
+	jobBytes  int64
+	endedJobs endedJobs
+	// live holds the jobs that have not ended.
 	live map[string]*job
 	// unreadable contains the jobs whose records are damaged.
 	unreadable  map[string]bool
@@ -128,8 +136,10 @@
 	// loads holds the load of each service, loadsMeasuredAt when it was measured.
 	loads           map[string]*serviceLoad
 	loadsMeasuredAt time.Time
-	// lastCleanup is when obsolete jobs were last searched for.
-	lastCleanup time.Time
+	// lastCleanup is when ended jobs were last searched for. obsoleteLeft is set if some
+	// may be left to delete since.
+	lastCleanup  time.Time
+	obsoleteLeft bool
 	// lastDecision is when the latest decision ended, decisionTime how long it
 	// took.
 	lastDecision time.Time
@@ -213,6 +223,7 @@
 		Dependencies:   d,
 		startedAt:      time.Now(),
 		jobs:           map[string]*job{},
+		endedJobs:      newEndedJobs(),
 		live:           map[string]*job{},
 		isolated:       map[*job]time.Time{},
 		unreadable:     map[string]bool{},
--- a/scheduler/control/recovery.go
+++ b/scheduler/control/recovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -35,13 +36,18 @@
 // called before Run.
 func (p *Planner) Load(ctx context.Context) error {
 	progress := map[string]*schema.BatchProgress{}
+	outcomes := map[string]outcome{}
 	err := p.forEachRow(ctx, progressTable, func(r platform.StoredRow) error {
 		m := &schema.BatchProgress{}
 		if err := proto.Unmarshal(r.Value, m); err != nil {
 			p.markUnreadable(r.RowKey, err)
 			return nil
 		}
-		progress[r.Key] = m
+		if o, ok := outcomeOf(m); ok {
+			outcomes[r.Key] = o
+		} else {
+			progress[r.Key] = m
+		}
 		return nil
 	})
 	if err != nil {
@@ -56,6 +62,10 @@
 			p.markUnreadable(r.RowKey, err)
 			return nil
 		}
+		if o, ok := outcomes[r.Key]; ok {
+			p.restoreOutcome(m, o)
+			return nil
+		}
 		err := p.restoreJob(m, progress[r.Key])
 		var format *FormatError
 		if errors.As(err, &format) {
@@ -67,7 +77,8 @@
 		}
 		return nil
 	})
-	p.Log.Info("jobs loaded", "jobs", len(p.jobs), "live", len(p.live), "error", err)
+	p.endedJobs.sort()
+	p.Log.Info("jobs loaded", "jobs", len(p.jobs), "live", len(p.live), "ended", len(p.endedJobs.order), "error", err)
 	if err != nil {
 		return err
 	}
@@ -107,6 +118,44 @@
 	}
 }
 
+// outcome is what is needed of the progress of a job that has ended.
+type outcome struct {
+	state batch.JobState
+	// ended is on the store's clock, or 0 if it is not known there.
+	ended   int64
+	endedAt time.Time
+}
+
+// outcomeOf returns the outcome of a job that has ended and of which no run may be
+// left.
+func outcomeOf(r *schema.BatchProgress) (outcome, bool) {
+	o := outcome{state: batch.JobState(r.GetState()), ended: r.GetConcluded()}
+	if r.GetEnded() != 0 {
+		o.endedAt = time.UnixMilli(r.GetEnded())
+	}
+	if !o.state.Final() || r.GetFormat() > progressFormat {
+		return outcome{}, false
+	}
+	for _, s := range r.GetSteps() {
+		placed := func(state int32) bool { return batch.TaskState(state) == batch.TaskPlaced }
+		if slices.ContainsFunc(s.GetStates(), placed) {
+			return outcome{}, false
+		}
+		if slices.ContainsFunc(s.GetTasks(), func(t *schema.BatchTask) bool { return placed(t.GetState()) }) {
+			return outcome{}, false
+		}
+	}
+	return o, true
+}
+
+// restoreOutcome adds a stored job that has ended.
+func (p *Planner) restoreOutcome(m *schema.Batch, o outcome) {
+	if o.ended != 0 {
+		o.endedAt = p.clock.fromStore(o.ended)
+	}
+	p.endedJobs.add(&endedJob{id: m.GetId(), queue: m.GetQueue(), path: m.GetPath(), state: o.state, ended: o.endedAt})
+}
+
 // restoreJob adds a stored job and its progress to the planner.
 func (p *Planner) restoreJob(m *schema.Batch, record *schema.BatchProgress) error {
 	spec, q, guaranteed := DecodeJob(m)
@@ -127,7 +176,7 @@
 	j := newJob(spec, q, guaranteed, progress)
 	j.stored = true
 	j.visibleState = j.progress.State
-	p.jobs[spec.ID] = j
+	p.remember(j)
 	if !j.progress.State.Final() {
 		p.live[spec.ID] = j
 	}
--- a/scheduler/control/size.go
+++ b/scheduler/control/size.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/schema"
 )
 
 const (
@@ -20,8 +21,10 @@
 )
 
 // maxRowBytes bounds the values of rows.
-func (p *Planner) maxRowBytes() int {
-	limit := p.MaxRowBytes
+func (p *Planner) maxRowBytes() int { return usableRowBytes(p.MaxRowBytes) }
+
+// usableRowBytes returns how much of a row of the store is used.
+func usableRowBytes(limit int) int {
 	if limit <= 0 {
 		limit = defaultMaxRowBytes
 	}
@@ -40,10 +43,11 @@
 	return fmt.Sprintf("the %s takes %d bytes to store, at most %d are accepted", e.Record, e.Bytes, e.Limit)
 }
 
-// checkSize returns a *JobSizeError if the records of a job would not fit into rows.
-func (p *Planner) checkSize(spec *batch.Job, q Queue, guaranteed int64) error {
-	limit := p.maxRowBytes()
-	if n := proto.Size(EncodeJob(spec, q, guaranteed)); n > limit {
+// CheckSize returns a *JobSizeError if the records of a job would not fit into rows
+// whose values have at most maxRowBytes, or 64 KB if it is 0.
+func CheckSize(record *schema.Batch, spec *batch.Job, maxRowBytes int) error {
+	limit := usableRowBytes(maxRowBytes)
+	if n := proto.Size(record); n > limit {
 		return &JobSizeError{"job", n, limit}
 	}
 	tasks := 0
--- a/scheduler/control/submission.go
+++ b/scheduler/control/submission.go
@@ -80,19 +80,26 @@
 	if p.unreadable[spec.ID] {
 		return Response{Outcome: OutcomeUnknown, Reason: "the record of the job is damaged"}, nil
 	}
+	ref := JobRef{spec.ID, spec.Queue, spec.Path}
+	if p.findEnded(ref) != nil {
+		return Response{Outcome: OutcomeAccepted}, nil
+	}
 	j := p.jobs[spec.ID]
-	if j != nil && !(JobRef{spec.ID, spec.Queue, spec.Path}).names(j.spec.Queue, j.spec.ID, j.spec.Path) {
+	if j != nil && !ref.names(j.spec.Queue, j.spec.ID, j.spec.Path) || p.endedJobs.byID[spec.ID] != nil {
 		return Response{Outcome: OutcomeInvalid, Reason: "another queue has a job with this id"}, nil
 	}
 	if j == nil {
-		if err := p.checkSize(spec, q, guaranteed); err != nil {
+		if err := CheckSize(EncodeJob(spec, q, guaranteed), spec, p.MaxRowBytes); err != nil {
 			return Response{Outcome: OutcomeInvalid, Reason: err.Error()}, nil
 		}
+		if resp := p.checkMemory(spec); resp.Outcome != 0 {
+			return resp, nil
+		}
 		if resp := p.checkAdmission(spec, q); resp.Outcome != 0 {
 			return resp, nil
 		}
 		j = newJob(spec, q, guaranteed, batch.NewProgress(spec))
-		p.jobs[spec.ID] = j
+		p.remember(j)
 		p.live[spec.ID] = j
 	}
 	return Response{Outcome: OutcomeAccepted}, p.storedSignal(j, j.stored)
@@ -205,6 +212,9 @@
 	if p.ctx == nil {
 		return startingResponse, nil
 	}
+	if p.findEnded(ref) != nil {
+		return Response{Outcome: OutcomeAccepted}, nil
+	}
 	j, resp := p.findJob(ref)
 	if j == nil {
 		return resp, nil
@@ -233,6 +243,9 @@
 func (p *Planner) State(ref JobRef) Response {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if e := p.findEnded(ref); e != nil {
+		return Response{Outcome: OutcomeOK, State: e.state}
+	}
 	j, resp := p.findJob(ref)
 	switch {
 	case j == nil:
--- a/scheduler/control/trust_test.go
+++ b/scheduler/control/trust_test.go
@@ -96,7 +96,9 @@
 	defer p.mu.Unlock()
 	found := 0
 	for i := range n {
-		if j := p.jobs[fmt.Sprint(prefix, i)]; j != nil && j.progress.State == state {
+		id := fmt.Sprint(prefix, i)
+		j, e := p.jobs[id], p.endedJobs.byID[id]
+		if j != nil && j.progress.State == state || e != nil && e.state == state {
 			found++
 		}
 	}
