quote: a request is claimed before it is forwarded

Cause: a request that is not idempotent is claimed before it is sent to a worker, but it is forwarded before that, and the other data centre takes the claim for made. No instance had one, so that a repeated call found none, and the answer no record. Change: the router claims the request before it forwards it. It releases the claim if the other data centre has certainly not run it. Result: TestForwardedClaims on the former code: the repeated request reaches the other data centre a second time, also after a lost answer; now it is refused as a duplicate.

--- a/scheduler/quote/claim.go
+++ b/scheduler/quote/claim.go
@@ -20,16 +20,28 @@
 // claim records a non-idempotent request before it is first sent. It frees the
 // slot if the request is refused.
 func (c *call) claim(ctx context.Context, target *worker, w *waiter) *RefusedError {
-	r := c.router
-	if c.request.Idempotent || c.claimed || r.options.disabled.claim {
+	if !c.needsClaim() {
 		return nil
 	}
-	err := r.claim(ctx, c.request.ID)
+	refused := c.recordClaim(c.router.claim(ctx, c.request.ID))
+	if refused != nil {
+		c.router.releaseSlot(target, w)
+	}
+	return refused
+}
+
+// needsClaim reports whether the request must be claimed before it is sent.
+func (c *call) needsClaim() bool {
+	return !c.request.Idempotent && !c.claimed && !c.router.options.disabled.claim
+}
+
+// recordClaim notes the result of a claim and returns the refusal that follows from
+// it, or nil.
+func (c *call) recordClaim(err error) *RefusedError {
 	if err == nil {
 		c.claimed = true
 		return nil
 	}
-	r.releaseSlot(target, w)
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
 		// An earlier call with this ID may have executed the request.
@@ -39,14 +51,19 @@
 	return c.refuse(ReasonClaim, err)
 }
 
+// claim claims a request while a slot is held for it.
 func (r *Router) claim(ctx context.Context, id string) error {
-	if r.deps.Claimer == nil {
-		return &platform.UnavailableError{Service: "claims"}
-	}
 	if !r.startClaim() {
 		return &platform.UnavailableError{Service: "claims"}
 	}
 	defer r.endClaim()
+	return r.callClaimer(ctx, id)
+}
+
+func (r *Router) callClaimer(ctx context.Context, id string) error {
+	if r.deps.Claimer == nil {
+		return &platform.UnavailableError{Service: "claims"}
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.options.ClaimTimeout)
 	defer cancel()
 	return r.deps.Claimer.Claim(ctx, id)
--- a/scheduler/quote/forward.go
+++ b/scheduler/quote/forward.go
@@ -24,13 +24,19 @@
 }
 
 // forward sends the request to another data centre once. The router there makes
-// the retries.
+// the retries. A request that is not idempotent is claimed here, because its caller
+// repeats it here; the other data centre does not claim it again.
 func (c *call) forward(ctx context.Context, own *RefusedError) (Answer, *RefusedError) {
 	r := c.router
 	if ctx.Err() != nil || !r.startForward() {
 		return Answer{}, own
 	}
 	defer r.endForward()
+	if c.needsClaim() {
+		if refused := c.recordClaim(r.callClaimer(ctx, c.request.ID)); refused != nil {
+			return Answer{}, refused
+		}
+	}
 	r.metrics.forwards.Inc()
 	q := c.request
 	q.Forwarded = true
--- a/scheduler/quote/router_test.go
+++ b/scheduler/quote/router_test.go
@@ -225,6 +225,50 @@
 	})
 }
 
+// TestForwardedClaims guards against forwarded requests that no instance has
+// claimed, so that a repeated call runs them again.
+func TestForwardedClaims(t *testing.T) {
+	unavailable := &platform.UnavailableError{Service: "b"}
+	table := []struct {
+		name     string
+		claimErr error
+		err      error
+		sent     int
+		first    RefusedError
+		// repeated is the outcome of a second call with the same ID, sentRepeated the
+		// number of calls sent to the other data centre then.
+		repeated     RefusedError
+		sentRepeated int
+	}{
+		{"answered", nil, nil, 1, RefusedError{}, RefusedError{Reason: ReasonDuplicate, Execution: ExecutionUnknown}, 1},
+		{"answer lost", nil, context.DeadlineExceeded, 1, RefusedError{Reason: ReasonForward, Execution: ExecutionUnknown},
+			RefusedError{Reason: ReasonDuplicate, Execution: ExecutionUnknown}, 1},
+		{"not sent", nil, unavailable, 1, RefusedError{Reason: ReasonNoWorkers, Execution: NotExecuted},
+			RefusedError{Reason: ReasonNoWorkers, Execution: NotExecuted}, 2},
+		{"claims unavailable", &platform.UnavailableError{Service: "table"}, nil, 0,
+			RefusedError{Reason: ReasonClaim, Execution: NotExecuted}, RefusedError{Reason: ReasonClaim, Execution: NotExecuted}, 0},
+	}
+	Convey("Forwarding a request that is not idempotent", t, func() {
+		for _, x := range table {
+			Convey(x.name, inVirtualTime(t, func(c C) {
+				s := newSite(1, 1, 1)
+				s.cluster.Fleet.SetLeaving("a-w000", true)
+				s.claims.err = x.claimErr
+				f := &stubForwarder{err: x.err}
+				r := New(Dependencies{Self: self(0), Fleet: s, View: s, Forwarder: f, Claimer: &s.claims}, Options{})
+				q := quick("q", 0.1)
+				q.Idempotent = false
+				_, err := r.Do(context.Background(), q)
+				c.So(refusalOf(err), ShouldResemble, x.first)
+				c.So(f.received, ShouldHaveLength, x.sent)
+				_, err = r.Do(context.Background(), q)
+				c.So(refusalOf(err), ShouldResemble, x.repeated)
+				c.So(f.received, ShouldHaveLength, x.sentRepeated)
+			}))
+		}
+	})
+}
+
 // TestClaims guards against sending non-idempotent requests without a recorded
 // claim, and against a slow table that blocks slots.
 func TestClaims(t *testing.T) {
