ledger: large payloads are kept in the object store

Seen: 320 jobs of 900 KB, each within the limits, take the daisylugd that plans to 563 MB. Cause: the record of a job had its payload; the planner keeps the records of all unfinished jobs, reads pages of 500 of them, and passes them on. Change: a payload above 16 KB is an object that the record names (field input); the owner of the rack reads it before it claims the attempt. Repeated submissions are compared by the name, also with records of former versions that hold the payload.

--- a/daisylugd/dispatch/launcher.go
+++ b/daisylugd/dispatch/launcher.go
@@ -59,11 +59,15 @@
 	if err != nil {
 		return &schema.Launched{Attempt: m.Job.Attempt, Reason: err.Error()}, nil
 	}
+	payload, err := l.payload(ctx, m.Job)
+	if err != nil {
+		return &schema.Launched{Attempt: m.Job.Attempt, Reason: err.Error()}, nil
+	}
 	attempt := m.Job.Attempt + 1
 	if refused := l.claim(ctx, m, attempt); refused != nil {
 		return refused, nil
 	}
-	err = owner.Start(ctx, gangRequest(m, attempt))
+	err = owner.Start(ctx, gangRequest(m, attempt, payload))
 	if err == nil {
 		l.metrics.observeWait(m.Job.Team, className(m.Job.Class), time.Since(m.Job.Accepted.AsTime()))
 		go l.recordStart(m.Job, attempt)
@@ -80,6 +84,13 @@
 	return nil, err
 }
 
+// payload returns the payload of a job, which a record names if it is large.
+func (l *launcher) payload(ctx context.Context, job *schema.Job) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, launchTimeout/2)
+	defer cancel()
+	return l.ledger.Payload(ctx, job)
+}
+
 // claim claims an attempt in the table and returns nil if it may start. While
 // the table is unavailable, an idempotent job starts without a claim and its
 // outcome is recorded later.
@@ -159,13 +170,13 @@
 	}
 }
 
-func gangRequest(m *schema.Launch, attempt int32) rack.GangRequest {
+func gangRequest(m *schema.Launch, attempt int32, payload []byte) rack.GangRequest {
 	r := rack.GangRequest{
 		Job:      m.Job.Id,
 		Attempt:  int(attempt),
 		Team:     m.Job.Team,
 		Template: m.Job.Template,
-		Payload:  m.Job.Payload,
+		Payload:  payload,
 		Borrowed: m.Borrowed,
 	}
 	if m.Ends != nil {
--- a/daisylugd/trial/crowd_test.go
+++ b/daisylugd/trial/crowd_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -202,3 +204,42 @@
 	}
 	c.gauge.Check(t, crowdBound)
 }
+
+// TestCrowdOfJobs submits many jobs with large payloads, each within the limits,
+// and lets the planner of their data centre read them.
+func TestCrowdOfJobs(t *testing.T) {
+	c := newCrowdCluster(t)
+	const jobs, callers, payloadBytes = 320, 8, 900 << 10
+	gauges := []*crowdtest.Gauge{c.gauge}
+	for i := 1; instanceCentres[i] == instanceCentres[0]; i++ {
+		host, _, _ := net.SplitHostPort(c.instances[i].api)
+		gauges = append(gauges, crowdtest.Measure(t, c.instances[i].cmd.Process.Pid, host))
+	}
+	payload := map[string]any{"seconds": 600, "pad": strings.Repeat("p", payloadBytes)}
+	var group sync.WaitGroup
+	var accepted atomic.Int64
+	for caller := range callers {
+		group.Go(func() {
+			for n := range jobs / callers {
+				body := map[string]any{
+					"team": "north", "template": "map", "key": fmt.Sprintf("large-%d-%d", caller, n), "centre": "a", "payload": payload,
+				}
+				a, err := c.call(context.Background(), http.MethodPost, c.url(0, "/v1/jobs"), body)
+				if err == nil && a.status == http.StatusCreated {
+					accepted.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d of %d jobs accepted", accepted.Load(), jobs)
+	if accepted.Load() == 0 {
+		t.Error("no job was accepted")
+	}
+	// The planner reads the unfinished jobs again and again.
+	time.Sleep(10 * time.Second)
+	c.awaitAnswer()
+	for _, g := range gauges {
+		g.Check(t, crowdBound)
+	}
+}
--- a/scheduler/ledger/id.go
+++ b/scheduler/ledger/id.go
@@ -71,7 +71,7 @@
 	add("deadline", proto.Equal(a.Deadline, b.Deadline))
 	add("idempotent", a.Idempotent == b.Idempotent)
 	add("estimate", a.Estimate == b.Estimate)
-	add("payload", string(a.Payload) == string(b.Payload))
+	add("payload", samePayload(a, b))
 	return fields
 }
 
--- a/scheduler/ledger/job.go
+++ b/scheduler/ledger/job.go
@@ -26,7 +26,7 @@
 	existing bool
 }
 
-// Accept records job as queued and returns the record. The index row is stored
+// Accept records job as queued and returns the record, which lacks a large payload. The index row is stored
 // under the job's data centre. The same key with equal content returns the
 // existing record; with different content, *IdempotencyConflictError.
 func (l *Ledger) Accept(ctx context.Context, job *schema.Job) (record *schema.Job, existing bool, err error) {
@@ -40,6 +40,9 @@
 	if job.Accepted == nil {
 		job.Accepted = timestamppb.Now()
 	}
+	if err := l.storePayload(ctx, job); err != nil {
+		return nil, false, &NotWrittenError{ID: job.Id, Cause: err}
+	}
 	c := &change{
 		id:       job.Id,
 		key:      jobKey(job.Id),
--- a/scheduler/ledger/ledger.go
+++ b/scheduler/ledger/ledger.go
@@ -64,20 +64,24 @@
 	// MaxInlineBytes is the largest size of a result that is kept in the
 	// record.
 	MaxInlineBytes int
+	// MaxInlinePayloadBytes is the largest size of a payload that is kept in the
+	// record. Larger ones are in the object store.
+	MaxInlinePayloadBytes int
 }
 
 // DefaultOptions returns the options for a site of up to 7 instances.
 func DefaultOptions() Options {
 	return Options{
-		Rate:                 40,
-		MaxBatchRows:         128,
-		MaxBatchBytes:        1 << 20,
-		Linger:               2 * time.Millisecond,
-		MaxConcurrency:       32,
-		Timeout:              15 * time.Second,
-		MaxPendingOperations: 16384,
-		MaxPendingBytes:      64 << 20,
-		MaxInlineBytes:       4096,
+		Rate:                  40,
+		MaxBatchRows:          128,
+		MaxBatchBytes:         1 << 20,
+		Linger:                2 * time.Millisecond,
+		MaxConcurrency:        32,
+		Timeout:               15 * time.Second,
+		MaxPendingOperations:  16384,
+		MaxPendingBytes:       64 << 20,
+		MaxInlineBytes:        4096,
+		MaxInlinePayloadBytes: 16384,
 	}
 }
 
@@ -93,8 +97,8 @@
 	allowOverwrite bool
 }
 
-// New returns a Ledger that keeps records in table and large results in
-// objects.
+// New returns a Ledger that keeps records in table, and large payloads and results
+// in objects.
 func New(table platform.Table, objects platform.Objects, options Options) *Ledger {
 	return &Ledger{
 		table:     table,
--- a/scheduler/ledger/ledger_test.go
+++ b/scheduler/ledger/ledger_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"daisylug.example/scheduler/platform"
@@ -158,6 +159,52 @@
 	})
 }
 
+// Guards against large payloads in records, which planners read and keep, and
+// against repeated submissions that are taken for other ones.
+func TestLargePayloads(t *testing.T) {
+	scenario(t, "A payload", func(p *memory.Platform) {
+		l, _ := newLedgerOnView(p)
+		ctx := context.Background()
+		for _, size := range []int{0, l.options.MaxInlinePayloadBytes, l.options.MaxInlinePayloadBytes + 1, 1 << 20} {
+			job := testJob(fmt.Sprint("k", size))
+			job.Payload = bytes.Repeat([]byte("p"), size)
+			record, existing, err := l.Accept(ctx, job)
+			So(err, ShouldBeNil)
+			So(existing, ShouldBeFalse)
+			So(proto.Size(record), ShouldBeLessThan, l.options.MaxInlinePayloadBytes+1000)
+			stored, err := l.Get(ctx, record.Id)
+			So(err, ShouldBeNil)
+			content, err := l.Payload(ctx, stored)
+			So(err, ShouldBeNil)
+			So(bytes.Equal(content, job.Payload), ShouldBeTrue)
+
+			_, existing, err = l.Accept(ctx, job)
+			So(err, ShouldBeNil)
+			So(existing, ShouldBeTrue)
+			other := proto.CloneOf(job)
+			other.Payload = append(bytes.Repeat([]byte("p"), size), 'q')
+			_, _, err = l.Accept(ctx, other)
+			var conflict *IdempotencyConflictError
+			So(errors.As(err, &conflict), ShouldBeTrue)
+		}
+	})
+	scenario(t, "A large payload in the record of a former version", func(p *memory.Platform) {
+		former, _ := newLedgerOnView(p)
+		former.options.MaxInlinePayloadBytes = 1 << 20
+		job := testJob("k")
+		job.Payload = bytes.Repeat([]byte("p"), 100<<10)
+		_, _, err := former.Accept(context.Background(), job)
+		So(err, ShouldBeNil)
+		l, _ := newLedgerOnView(p)
+		record, existing, err := l.Accept(context.Background(), job)
+		So(err, ShouldBeNil)
+		So(existing, ShouldBeTrue)
+		content, err := l.Payload(context.Background(), record)
+		So(err, ShouldBeNil)
+		So(len(content), ShouldEqual, 100<<10)
+	})
+}
+
 // Guards against a state transition that lets a job run twice or a result be
 // replaced. Each row gives a sequence of operations, the error of the last one
 // and the final state.
