entry: submissions on their way to the planner are bounded

Seen: 200 jobs of 56 KB at a time at each of 5 instances take the instance that plans to 181 MB, which has 96 MB. Cause: instances passed on what arrived, each within its own limits. A session between instances holds what it has received until it is read, and calls beyond those that are served at a time were read before they were refused.

--- a/daisylugd/entry/call.go
+++ b/daisylugd/entry/call.go
@@ -206,6 +206,16 @@
 	if !ok {
 		return control.Response{Outcome: control.OutcomeUnavailable, Reason: "no planner is known"}, nil
 	}
+	if method == methodSubmit {
+		size := int64(proto.Size(request))
+		waitCtx, cancel := context.WithTimeout(ctx, submissionTimeout)
+		ok = e.submissions.acquire(waitCtx, size, e.submissionLimit())
+		cancel()
+		if !ok {
+			return control.Response{Outcome: control.OutcomeUnavailable, Reason: "too many submissions at a time"}, nil
+		}
+		defer e.submissions.release(size)
+	}
 	m := &schema.Verdict{}
 	if err := e.group.Call(ctx, name, method, request, m); err != nil {
 		return control.Response{}, err
--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -105,6 +105,7 @@
 	seeds             atomic.Pointer[[]string]
 	planner           atomic.Pointer[control.Planner]
 	router            *relay.Router
+	submissions       submissionBudget
 	draining          atomic.Bool
 }
 
