--- a/scheduler/ingress/conn.go
+++ b/scheduler/ingress/conn.go
@@ -65,7 +65,7 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.limiter.Limits().WriteTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(c.limiter.Limits().WriteTimeout))
 	return c.Conn.Write(b)
 }
 
