control: long records of ended jobs are replaced by short ones

Cause: the rows of ended jobs stayed as they were until twice the retention after their end, and a planner that takes over reads all rows before it serves. Change: when the planner has reduced a job to its outcome, it replaces a record of more than 4 KB, with the progress, by one of id, queue, path and state. Ordinary jobs are shorter and cost no further write. The tests of crowds share the slow sender.

--- a/daisylugd/trial/crowd_test.go
+++ b/daisylugd/trial/crowd_test.go
@@ -171,14 +171,7 @@
 			if err := crowdtest.Send(w, head(length), end); err != nil {
 				return err
 			}
-			const pieces = 16
-			for i := range pieces {
-				time.Sleep(2 * time.Second / pieces)
-				if err := crowdtest.Send(w, body[i*len(body)/pieces:(i+1)*len(body)/pieces]); err != nil {
-					return err
-				}
-			}
-			return nil
+			return crowdtest.SendOver(w, body, 2*time.Second)
 		}},
 		{"head of 15 KB", func(w io.Writer, body []byte) error {
 			return crowdtest.Send(w, head(length, "X-Long: "+strings.Repeat("v", 15<<10)), end, body)
--- a/scheduler/control/commit.go
+++ b/scheduler/control/commit.go
@@ -113,7 +113,11 @@
 	p.reinstate(time.Now())
 	p.decideSafely(time.Now())
 	changes, rows := p.changedJobs()
-	changes = append(changes, p.obsoleteJobs(time.Now(), term.MaxChanges-rows)...)
+	if short := p.shortenRecords(term.MaxChanges - rows); len(short) > 0 {
+		changes = append(changes, short...)
+	} else {
+		changes = append(changes, p.obsoleteJobs(time.Now(), term.MaxChanges-rows)...)
+	}
 	if len(changes) == 0 && !renewalDue {
 		return transaction{}
 	}
--- a/scheduler/control/endedjob.go
+++ b/scheduler/control/endedjob.go
@@ -5,8 +5,11 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/schema"
 )
 
 // endedJob is what is kept of a job that has ended and has no runs left.
@@ -30,6 +33,8 @@
 	byID  map[string]*endedJob
 	order []*endedJob
 	bytes int64
+	// large are those whose long records are to be replaced.
+	large []*endedJob
 }
 
 func newEndedJobs() endedJobs { return endedJobs{byID: map[string]*endedJob{}} }
@@ -98,9 +103,52 @@
 		return
 	}
 	p.forget(j)
-	p.endedJobs.add(&endedJob{
-		id: j.spec.ID, queue: j.spec.Queue, path: j.spec.Path, state: j.visibleState, ended: j.progress.Ended,
-	})
+	e := &endedJob{id: j.spec.ID, queue: j.spec.Queue, path: j.spec.Path, state: j.visibleState, ended: j.progress.Ended}
+	p.endedJobs.add(e)
+	if recordBytes(j.spec) > largeRecordBytes {
+		p.endedJobs.large = append(p.endedJobs.large, e)
+	}
+}
+
+// largeRecordBytes is the length of the record of an ended job from which on it is
+// replaced by a short one. A planner that takes over reads all records.
+const largeRecordBytes = 4 << 10
+
+// shortenRecords returns the replacement of long records of jobs that have ended, at
+// most limit rows. The caller holds the lock.
+func (p *Planner) shortenRecords(limit int) []change {
+	n := min(limit/rowsPerJob, len(p.endedJobs.large))
+	var changes []change
+	for _, e := range p.endedJobs.large[:n] {
+		if p.endedJobs.byID[e.id] != e {
+			continue
+		}
+		rows, err := e.encodeRows(p.clock)
+		if err != nil {
+			p.Log.Error(err, "record of an ended job not shortened", "job", e.id)
+			continue
+		}
+		changes = append(changes, change{writes: rows})
+	}
+	p.endedJobs.large = slices.Delete(p.endedJobs.large, 0, n)
+	return changes
+}
+
+// encodeRows returns the rows that store what is kept of the job.
+func (e *endedJob) encodeRows(clock storeClock) ([]platform.StoredRow, error) {
+	progress := &schema.BatchProgress{State: int32(e.state), Format: progressFormat, Concluded: clock.toStore(e.ended)}
+	if !e.ended.IsZero() {
+		progress.Ended = e.ended.UnixMilli()
+	}
+	record, err := proto.Marshal(&schema.Batch{Id: e.id, Queue: e.queue, Path: e.path})
+	if err != nil {
+		return nil, err
+	}
+	outcome, err := proto.Marshal(progress)
+	if err != nil {
+		return nil, err
+	}
+	return []platform.StoredRow{{RowKey: jobKey(e.id), Value: record}, {RowKey: progressKey(e.id), Value: outcome}}, nil
 }
 
 const (
--- a/scheduler/control/endedjob_test.go
+++ b/scheduler/control/endedjob_test.go
@@ -69,8 +69,60 @@
 		stop()
 		p, stop = f.startPlanner()
 		defer stop()
+		// The planner learns from the workers that runs have begun.
+		time.Sleep(3 * time.Second)
+		check(p)
+	})
+}
+
+// Guards against a planner that takes over and reads the records of all jobs that
+// ended, which takes minutes on a slow link.
+func TestRecordsOfEndedJobsAreShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 4)
+		p, stop := f.startPlanner()
 		time.Sleep(settleTime)
+		f.submit(p, largeJob("done", "100ms"))
+		f.submit(p, largeJob("cancelled", "1h"))
+		f.submit(p, largeJob("running", "1h"))
+		f.submit(p, batchJob("small", "later", "a", "100ms", bulkStep(1)))
+		time.Sleep(2 * time.Second)
+		if v := p.Cancel(t.Context(), JobRef{ID: "cancelled", Queue: "later"}); v.Outcome != OutcomeAccepted {
+			t.Fatalf("cancelled: %+v", v)
+		}
+		time.Sleep(5 * time.Second)
+		check := func(p *Planner) {
+			t.Helper()
+			for id, long := range map[string]bool{"done": false, "cancelled": false, "running": true, "small": false} {
+				row, err := readRow(t.Context(), f.store, jobKey(id))
+				if err != nil || row == nil {
+					t.Fatalf("record of %s: %v, %v", id, row, err)
+				}
+				if n := len(row.Value); n > largeRecordBytes != long {
+					t.Errorf("the record of %s has %d bytes", id, n)
+				}
+			}
+			f.expectState(p, "later", "done", batch.JobDone)
+			f.expectState(p, "later", "cancelled", batch.JobCancelled)
+			f.expectState(p, "later", "running", batch.JobRunning)
+			f.expectState(p, "later", "small", batch.JobDone)
+			if v, err := ReadState(t.Context(), f.store, JobRef{ID: "done", Queue: "later"}); err != nil || v.State != batch.JobDone {
+				t.Errorf("state in the store: %+v, %v", v, err)
+			}
+		}
+		check(p)
+		stop()
+		p, stop = f.startPlanner()
+		defer stop()
+		// The planner learns from the workers that runs have begun.
+		time.Sleep(3 * time.Second)
 		check(p)
+		time.Sleep(2*retentionFactor*p.Timing.Retention + 10*time.Second)
+		for _, id := range []string{"done", "cancelled", "small"} {
+			if row, err := readRow(t.Context(), f.store, jobKey(id)); err != nil || row != nil {
+				t.Errorf("record of %s after its retention: %v, %v", id, row, err)
+			}
+		}
 	})
 }
 
--- a/scheduler/control/jobmemory.go
+++ b/scheduler/control/jobmemory.go
@@ -37,16 +37,27 @@
 	return memoryLimits{live: min(int64(liveShare*total), maxLiveBytes), ended: int64(endedShare * total)}
 }
 
+// recordBytes returns about how long the record of a job is.
+func recordBytes(spec *batch.Job) int {
+	// stepNumbers is what the numbers of a step take, dependencyNumber one dependency.
+	const stepNumbers, dependencyNumber = 40, 1
+	n := len(spec.ID) + len(spec.Queue) + len(spec.Path) + len(spec.Team) + len(spec.Payload)
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		n += stepNumbers + len(s.Label) + len(s.Rack) + len(s.Image) + dependencyNumber*len(s.DependsOn)
+	}
+	return n
+}
+
 // estimateBytes returns about what an accepted job takes in memory.
 func estimateBytes(spec *batch.Job) int64 {
-	n := jobBytes + len(spec.ID) + len(spec.Queue) + len(spec.Path) + len(spec.Team) + len(spec.Payload)
-	tasks := 0
+	const dependencyBytes = 8
+	tasks, dependencies := 0, 0
 	for i := range spec.Steps {
-		s := &spec.Steps[i]
-		const dependencyBytes = 8
-		n += stepBytes + len(s.Label) + len(s.Rack) + len(s.Image) + dependencyBytes*len(s.DependsOn)
-		tasks += s.Tasks
+		tasks += spec.Steps[i].Tasks
+		dependencies += len(spec.Steps[i].DependsOn)
 	}
+	n := jobBytes + recordBytes(spec) + stepBytes*len(spec.Steps) + dependencyBytes*dependencies
 	return int64(n + taskBytes*tasks*spec.OccurrenceCount())
 }
 
--- a/scheduler/ingress/crowdtest/crowd.go
+++ b/scheduler/ingress/crowdtest/crowd.go
@@ -98,6 +98,18 @@
 	return nil
 }
 
+// SendOver writes content evenly over a time.
+func SendOver(w io.Writer, content []byte, d time.Duration) error {
+	const pieces = 16
+	for i := range pieces {
+		time.Sleep(d / pieces)
+		if _, err := w.Write(content[i*len(content)/pieces : (i+1)*len(content)/pieces]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Chunks returns the content in chunks of the given size, without the last chunk.
 // Each chunk has the extension, which may be empty.
 func Chunks(content []byte, size int, extension string) []byte {
