--- a/scheduler/ingress/body.go
+++ b/scheduler/ingress/body.go
@@ -29,20 +29,18 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.conn.limiter.enter(b.conn, phaseServing)
-	} else if err != nil && b.conn.limiter.isEvicted(b.conn) {
+	switch {
+	case err == nil:
+	case b.conn.limiter.isEvicted(b.conn):
+		// The error is that of a deadline in the past, or the end of the body came at
+		// the same moment.
 		err = &RefusedError{Reason: reasonBytes}
+	case errors.Is(err, io.EOF):
+		b.conn.limiter.enter(b.conn, phaseServing)
 	}
 	return n, err
 }
 
-func (l *Limiter) isEvicted(c *conn) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return c.evicted
-}
-
 // minBodyBytes is the size of the first buffer of a body.
 const minBodyBytes = 1 << 10
 
@@ -109,26 +107,3 @@
 		c.charged = size
 	}
 }
-
-func (l *Limiter) setBodyDeadline(c *conn, deadline time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if c.phase == phaseBody && deadline.Before(c.deadline) {
-		c.deadline = deadline
-		_ = c.applyDeadline()
-	}
-}
-
-func (l *Limiter) chargeBody(c *conn, n int64) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.charge(c, n)
-}
-
-func (l *Limiter) refund(c *conn, n int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n = min(n, c.charged)
-	c.charged -= n
-	l.held -= n
-}
--- a/scheduler/ingress/conn.go
+++ b/scheduler/ingress/conn.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"container/list"
 	"net"
 	"net/http"
@@ -103,41 +102,11 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// received accounts for a part of a head.
-func (l *Limiter) received(c *conn, part []byte) error {
-	l.mu.Lock()
-	if c.phase == phaseIdle {
-		l.move(c, phaseHead)
-	}
-	if c.phase != phaseHead {
-		l.mu.Unlock()
-		return nil
-	}
-	c.received += int64(len(part))
-	if c.received > int64(l.limits.HeaderBytes)+headerSlack {
-		l.mu.Unlock()
-		l.count(reasonHead)
-		_, _ = c.Write([]byte(tooLarge))
-		return &RefusedError{Reason: reasonHead}
-	}
-	err := l.charge(c, int64(len(part)+lineBytes*bytes.Count(part, []byte{'\n'})))
-	l.mu.Unlock()
-	return err
-}
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
 
-// onStateChange follows the state that the server sees a connection in.
-func (l *Limiter) onStateChange(nc net.Conn, state http.ConnState) {
-	c, ok := nc.(*conn)
-	if !ok {
-		return
-	}
-	switch state {
-	case http.StateActive:
-		l.enter(c, phaseServing)
-	case http.StateIdle:
-		l.enter(c, phaseIdle)
-	case http.StateClosed, http.StateHijacked:
-		l.enter(c, phaseClosed)
-	case http.StateNew:
-	}
+// connOf returns the connection of a request, or nil if it is not limited.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
 }
--- a/scheduler/ingress/limiter.go
+++ b/scheduler/ingress/limiter.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"net"
@@ -36,7 +37,7 @@
 
 // Limiter holds the connections of a server within limits.
 type Limiter struct {
-	closed map[string]*metrics.Counter
+	refusals map[string]*metrics.Counter
 
 	mu     sync.Mutex
 	limits Limits
@@ -49,9 +50,9 @@
 
 // New returns a limiter for one server.
 func New(limits Limits, set *meter.Set, server string) *Limiter {
-	l := &Limiter{limits: limits, closed: map[string]*metrics.Counter{}}
+	l := &Limiter{limits: limits, refusals: map[string]*metrics.Counter{}}
 	for _, reason := range []string{reasonConnections, reasonBytes, reasonHead} {
-		l.closed[reason] = set.Counter("daisylug_ingress_refused_total", meter.L("server", server), meter.L("reason", reason))
+		l.refusals[reason] = set.Counter("daisylug_ingress_refused_total", meter.L("server", server), meter.L("reason", reason))
 	}
 	return l
 }
@@ -85,26 +86,6 @@
 	return &listener{inner, l}, nil
 }
 
-type listener struct {
-	net.Listener
-	limiter *Limiter
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		inner, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{Conn: inner, limiter: l.limiter}
-		if l.limiter.admit(c) {
-			return c, nil
-		}
-		_ = inner.Close()
-	}
-}
-
 // Attach lets a server report the states of its connections. The server must use
 // the limiter's listener.
 func (l *Limiter) Attach(server *http.Server) {
@@ -115,12 +96,43 @@
 	server.Handler = &bodyHandler{next: server.Handler}
 }
 
-type connKey struct{}
+// onStateChange follows the state that the server sees a connection in.
+func (l *Limiter) onStateChange(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		l.enter(c, phaseServing)
+	case http.StateIdle:
+		l.enter(c, phaseIdle)
+	case http.StateClosed, http.StateHijacked:
+		l.enter(c, phaseClosed)
+	case http.StateNew:
+	}
+}
 
-// connOf returns the connection of a request, or nil if it is not limited.
-func connOf(r *http.Request) *conn {
-	c, _ := r.Context().Value(connKey{}).(*conn)
-	return c
+// received accounts for a part of a head.
+func (l *Limiter) received(c *conn, part []byte) error {
+	l.mu.Lock()
+	if c.phase == phaseIdle {
+		l.move(c, phaseHead)
+	}
+	if c.phase != phaseHead {
+		l.mu.Unlock()
+		return nil
+	}
+	c.received += int64(len(part))
+	if c.received > int64(l.limits.HeaderBytes)+headerSlack {
+		l.mu.Unlock()
+		l.count(reasonHead)
+		_, _ = c.Write([]byte(tooLarge))
+		return &RefusedError{Reason: reasonHead}
+	}
+	err := l.charge(c, int64(len(part)+lineBytes*bytes.Count(part, []byte{'\n'})))
+	l.mu.Unlock()
+	return err
 }
 
 // admit adds a connection, and reports false if there is no room for it.
@@ -250,7 +262,41 @@
 	c.element = nil
 }
 
-func (l *Limiter) count(reason string) { l.closed[reason].Inc() }
+func (l *Limiter) count(reason string) { l.refusals[reason].Inc() }
+
+// setBodyDeadline sets when the body of a request must have arrived, if that is
+// earlier than its timeout.
+func (l *Limiter) setBodyDeadline(c *conn, deadline time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.phase == phaseBody && deadline.Before(c.deadline) {
+		c.deadline = deadline
+		_ = c.applyDeadline()
+	}
+}
+
+// chargeBody is charge for callers that do not hold the lock.
+func (l *Limiter) chargeBody(c *conn, n int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.charge(c, n)
+}
+
+// refund returns a part of what is charged for a request.
+func (l *Limiter) refund(c *conn, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n = min(n, c.charged)
+	c.charged -= n
+	l.held -= n
+}
+
+// isEvicted reports whether the request of a connection has made room for others.
+func (l *Limiter) isEvicted(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.evicted
+}
 
 // front returns the first connection of a list, or nil.
 func front(connections *list.List) *conn {
