control: a new process of a worker rejects orders to the former one

Cause: a worker rejects a late order if it has ended or stopped that run, or has seen a higher fencing token. Its new process had seen neither, and all calls of a term carried the same token. handleRestart took the new process for the end of all orders to the former one.

Change: generations of terms are 1,000,000 apart and the numbers between them are fencing tokens. A worker that answers with a new process is polled with a token of its own at once, and the restart is handled with the answer to that: what it does not list cannot be carried out any more. Until then the worker gets no start and its runs are not given up. The same token bars late starts of runs that have ended, were refused or belong to a cancelled job, and late polls that made the new process forget ends. Starts without a response are no longer carried over to the new process.

TestResign and TestResignWithRejectedRows expected generations 1 and 2; they expect 1 and 2 times the distance now.

--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -281,6 +281,13 @@
 	f.unlisted[r.Info().ID] = true
 }
 
+// list restores the registry entry of a worker.
+func (f *testCluster) list(r *memory.Runner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.unlisted, r.Info().ID)
+}
+
 // relayGroup is a group of instances through which a planner reaches the
 // workers.
 type relayGroup struct {
--- a/scheduler/control/command.go
+++ b/scheduler/control/command.go
@@ -67,8 +67,8 @@
 		}
 		w := pl.worker
 		now := time.Now()
-		if w.failedPolls >= maxFailedPolls && try > 0 || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod || p.isIsolated(pl.job) {
-			// The next successful poll shows whether the worker has the run.
+		if w.failedPolls >= maxFailedPolls && try > 0 || w.fencing() || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod || p.isIsolated(pl.job) {
+			// The next successful poll shows whether the worker, or its new process, has the run.
 			// After a long time without a transaction another planner may be
 			// active.
 			return
@@ -83,7 +83,7 @@
 			pl.sent, pl.startedAt = true, now
 		}
 		c = startCall{runner: w.runner, tracked: w.trackCall(now), request: platform.StartRequest{
-			Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(),
+			Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: w.token,
 			LeaseDeadline: w.leaseDeadline(now, p.grantableLease()), Payload: pl.job.spec.Payload, Checkpoint: pl.checkpoint, Ticket: pl.ticket,
 		}}
 	})
@@ -258,11 +258,11 @@
 func (p *Planner) stopUntilAnswered(pl *placement) {
 	w := pl.worker
 	for try := 0; ; try++ {
-		var runner platform.Runner
+		var stop stopCall
 		gone, expired := false, true
 		p.locked("stop of a run", func() {
 			gone = w.placements[pl.id] != pl || p.ended
-			runner, expired = w.runner, p.Term.SinceLastCommit() > LeaseRenewalGracePeriod
+			stop, expired = w.newStop(platform.Run{Task: pl.id, Number: pl.run}), p.Term.SinceLastCommit() > LeaseRenewalGracePeriod
 		})
 		if gone {
 			return
@@ -274,7 +274,7 @@
 			}
 			continue
 		}
-		err := p.sendStop(runner, platform.Run{Task: pl.id, Number: pl.run})
+		err := p.sendStop(stop)
 		if err == nil {
 			p.locked("stop of a run", func() { pl.respondedAt = time.Now() })
 			w.requestPoll()
@@ -289,19 +289,30 @@
 // stopUnknown sends one stop request for a run that belongs to no placement. If
 // it fails, the next poll reports the run again.
 func (p *Planner) stopUnknown(w *worker, r platform.Run) {
-	var runner platform.Runner
-	p.locked("stop of a run", func() { runner = w.runner })
-	if err := p.sendStop(runner, r); err != nil {
+	var stop stopCall
+	p.locked("stop of a run", func() { stop = w.newStop(r) })
+	if err := p.sendStop(stop); err != nil {
 		p.Log.Info("unknown run not stopped", "task", r.Task, "run", r.Number, "worker", w.info.ID, "error", err)
 	}
 }
 
+// stopCall is a request to stop a run.
+type stopCall struct {
+	runner  platform.Runner
+	request platform.StopRequest
+}
+
+// newStop returns a request to stop a run on the worker.
+func (w *worker) newStop(r platform.Run) stopCall {
+	return stopCall{w.runner, platform.StopRequest{Run: r, Generation: w.token}}
+}
+
 // sendStop sends one stop request. A run that can no longer exist counts as
 // stopped.
-func (p *Planner) sendStop(runner platform.Runner, r platform.Run) error {
+func (p *Planner) sendStop(c stopCall) error {
 	ctx, cancel := context.WithTimeout(p.ctx, commandTimeout)
 	defer cancel()
-	_, err := runner.Stop(ctx, platform.StopRequest{Run: r, Generation: p.Term.Generation()})
+	_, err := c.runner.Stop(ctx, c.request)
 	var staleRun *platform.StaleRunError
 	var restarted *platform.RestartedError
 	if errors.As(err, &staleRun) || errors.As(err, &restarted) {
--- a/scheduler/control/leaserecord.go
+++ b/scheduler/control/leaserecord.go
@@ -67,7 +67,7 @@
 		p.Log.Error(err, "leases of the preceding planner cannot be decoded")
 		return nil
 	}
-	if m.GetGeneration()+1 != p.Term.Generation() || p.clock.latest.IsZero() {
+	if m.GetGeneration() != p.Term.PreviousGeneration() || p.clock.latest.IsZero() {
 		return nil
 	}
 	p.inherited = inheritedLeases{known: true, until: p.clock.fromStore(m.GetUntil()), workers: map[string]*schema.WorkerLease{}}
--- a/scheduler/control/planner.go
+++ b/scheduler/control/planner.go
@@ -114,8 +114,11 @@
 	// live holds the jobs that have not ended.
 	live map[string]*job
 	// unreadable contains the jobs whose records are damaged.
-	unreadable  map[string]bool
-	workers     map[string]*worker
+	unreadable map[string]bool
+	workers    map[string]*worker
+	// tokensUsed is the number of fencing tokens above the generation of the term that
+	// were used.
+	tokensUsed  uint64
 	dataCentres map[string]*dataCentre
 	evacuations evacuationState
 	dirty       []*job
--- a/scheduler/control/rejection_test.go
+++ b/scheduler/control/rejection_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/term"
 )
 
 // submitOutcome submits a job and returns the response.
@@ -188,7 +189,7 @@
 		defer stopNext()
 		time.Sleep(settleTime)
 		f.store.LimitValues(0)
-		if next.Term.Generation() != 2 {
+		if next.Term.Generation() != 2*term.TokensPerTerm {
 			t.Errorf("generation %d", next.Term.Generation())
 		}
 		f.expectState(next, "later", "j", batch.JobRunning)
--- a/scheduler/control/report.go
+++ b/scheduler/control/report.go
@@ -38,38 +38,6 @@
 	}
 }
 
-// handleRestart processes a new process of a worker. The runs of the previous
-// process are lost, but commands sent since the restart have reached the new
-// one.
-func (p *Planner) handleRestart(w *worker, state platform.RunnerState) {
-	if w.incarnation != 0 {
-		p.Log.Info("worker restarted", "worker", w.info.ID, "life", state.Incarnation)
-		p.setTrust(w, w.trust.WithRestart(time.Now()), "worker restarted")
-	}
-	w.incarnation = state.Incarnation
-	p.wake()
-	p.restoreSpeed(w, state.Incarnation)
-	p.restoreTrust(w, state.Incarnation)
-	// From here on the worker rejects earlier planners.
-	w.leasesEnd = time.Now().Add(p.maxLeaseTime())
-	w.lastSequence, w.acknowledgedSequence = 0, 0
-	clear(w.unstoredEnds)
-	clear(w.heldEnds)
-	for id, pl := range w.placements {
-		p.processing = pl.job
-		t := pl.job.progress.Task(pl.job.spec, id)
-		switch {
-		case t.WorkerIncarnation == state.Incarnation:
-		case pl.phase == phaseReserved, pl.phase == phaseStarting, state.Lists(platform.Run{Task: id, Number: pl.run}):
-			t.WorkerIncarnation = state.Incarnation
-			p.markDirty(pl.job, nil)
-		default:
-			p.loseRun(pl, "worker restarted")
-		}
-	}
-	p.processing = nil
-}
-
 // handleRunning processes a running task; a run without a placement is stopped.
 func (p *Planner) handleRunning(w *worker, r platform.RunningTask, now time.Time) {
 	pl := w.placements[r.Task]
--- a/scheduler/control/throttle.go
+++ b/scheduler/control/throttle.go
@@ -54,11 +54,14 @@
 // sendThrottle sends the share of a run once; after a failure the next report
 // triggers it again.
 func (p *Planner) sendThrottle(pl *placement, share int) {
-	var runner platform.Runner
-	p.locked("throttling", func() { runner = pl.worker.runner })
+	var (
+		runner platform.Runner
+		token  uint64
+	)
+	p.locked("throttling", func() { runner, token = pl.worker.runner, pl.worker.token })
 	ctx, cancel := context.WithTimeout(p.ctx, commandTimeout)
 	_, err := runner.Throttle(ctx, platform.ThrottleRequest{
-		Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: p.Term.Generation(), SpeedPercent: share,
+		Run: platform.Run{Task: pl.id, Number: pl.run}, Generation: token, SpeedPercent: share,
 	})
 	cancel()
 	p.locked("throttling", func() { p.applyThrottleResponse(pl, share, err) })
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -59,7 +59,11 @@
 	lastHeartbeat time.Time
 	// incarnation is the process that has responded in this term, or 0.
 	incarnation int64
-	failedPolls int
+	// token is the fencing token of the calls to the worker. fencedIncarnation is the
+	// latest process that got a new one, or 0.
+	token             uint64
+	fencedIncarnation int64
+	failedPolls       int
 	// leasesEnd is when every lease that the worker may hold has expired.
 	leasesEnd time.Time
 	// clock is the worker's clock at clockReadAt.
@@ -108,6 +112,10 @@
 		if w.info.Leaving != info.Leaving {
 			p.Log.Info("worker leaving state changed", "worker", info.ID, "leaving", info.Leaving)
 		}
+		if w.info.Incarnation != info.Incarnation {
+			// The earlier the new process is fenced, the fewer late orders reach it.
+			w.requestPoll()
+		}
 		if w.info.Address != info.Address {
 			w.runner = p.Dialer.Runner(info)
 		}
@@ -138,6 +146,8 @@
 		if len(w.placements) == 0 && now.Sub(w.unlistedAt) > unlistedRetention {
 			w.cancel()
 			delete(p.workers, id)
+			// If the worker comes back, it rejects orders from before.
+			p.nextToken()
 		}
 	}
 	if p.registryReadAt.IsZero() {
@@ -149,7 +159,7 @@
 // addWorker adds a worker and starts polling it. The caller holds the lock.
 func (p *Planner) addWorker(info platform.RunnerInfo) *worker {
 	w := &worker{
-		info: info, runner: p.Dialer.Runner(info), leasesEnd: p.inheritedLeasesEnd(info.ID),
+		info: info, runner: p.Dialer.Runner(info), leasesEnd: p.inheritedLeasesEnd(info.ID), token: p.Term.Generation() + p.tokensUsed,
 		unstoredEnds: map[int64]int{}, heldEnds: map[int64]struct{}{}, placements: map[batch.TaskID]*placement{},
 		pollRequests: make(chan struct{}, 1),
 	}
@@ -191,7 +201,7 @@
 
 // schedulable reports whether the worker may get new tasks.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.listed && !w.info.Leaving && !w.evacuated && w.incarnation != 0 && w.incarnation == w.info.Incarnation &&
+	return w.listed && !w.info.Leaving && !w.evacuated && w.incarnation != 0 && w.incarnation == w.info.Incarnation && !w.fencing() &&
 		w.failedPolls < maxFailedPolls && now.After(w.trust.RefusedUntil())
 }
 
@@ -281,8 +291,8 @@
 		return nil
 	}
 	now := time.Now()
-	request := platform.RenewLeaseRequest{Generation: p.Term.Generation()}
-	if now.Sub(w.lastResponse) <= acknowledgeWindow {
+	request := platform.RenewLeaseRequest{Generation: w.token}
+	if now.Sub(w.lastResponse) <= acknowledgeWindow && !w.fencing() {
 		request.AcknowledgedSequence = w.storedSequence()
 	}
 	if w.failedPolls < maxFailedPolls {
@@ -290,7 +300,7 @@
 		// extended the lease, it would never be certain to have expired.
 		request.LeaseDeadline = w.leaseDeadline(now, p.grantableLease())
 	}
-	if len(w.placements) > 0 && w.incarnation != 0 && len(w.unstoredEnds) == 0 && w.acknowledgedSequence == w.storedSequence() {
+	if len(w.placements) > 0 && w.incarnation != 0 && !w.fencing() && len(w.unstoredEnds) == 0 && w.acknowledgedSequence == w.storedSequence() {
 		request.Wait = longPollTimeout
 		if serving, bestEffort := w.sharedTasks(); len(serving) > 0 && len(bestEffort) > 0 {
 			request.Wait = sharedLongPollTimeout
@@ -316,6 +326,10 @@
 	w.failedPolls = 0
 	w.acknowledgedSequence = max(w.acknowledgedSequence, c.request.AcknowledgedSequence)
 	w.lastResponse = time.Now()
+	if w.awaitsFence(state) {
+		p.fenceProcess(w, state)
+		return 0
+	}
 	p.handleReport(w, state, c.begin)
 	switch {
 	case len(w.unstoredEnds) > 0:
--- a/scheduler/term/term.go
+++ b/scheduler/term/term.go
@@ -42,6 +42,10 @@
 	maxRetryDelay = 250 * time.Millisecond
 )
 
+// TokensPerTerm is the distance between the generations of two terms. A term has the
+// fencing tokens from its generation up to the next one.
+const TokensPerTerm = 1_000_000
+
 // Leader is the current planner as recorded in the store. The zero value means
 // that there has been none.
 type Leader struct {
@@ -106,8 +110,9 @@
 // at most leaseTail after the start of a transaction, or at any time if it is 0. It
 // returns *SupersededError if another instance was faster.
 func (e *Elector) Acquire(ctx context.Context, previous Leader, leaseTail time.Duration) (*Term, error) {
-	t := &Term{elector: e, leader: Leader{
-		Name: e.name, Incarnation: e.incarnation, Generation: previous.Generation + 1, Version: previous.Version, LeaseTail: leaseTail,
+	generation := previous.Generation - previous.Generation%TokensPerTerm + TokensPerTerm
+	t := &Term{elector: e, previous: previous.Generation, leader: Leader{
+		Name: e.name, Incarnation: e.incarnation, Generation: generation, Version: previous.Version, LeaseTail: leaseTail,
 	}}
 	if err := t.Commit(ctx, nil, nil); err != nil {
 		return nil, err
@@ -118,16 +123,20 @@
 // Term is the period in which this instance is the planner. Commit must not be
 // called concurrently.
 type Term struct {
-	elector *Elector
+	elector  *Elector
+	previous uint64
 
 	mu         sync.Mutex
 	leader     Leader
 	lastCommit time.Duration
 }
 
-// Generation returns the fencing token of the term.
+// Generation returns the lowest fencing token of the term.
 func (t *Term) Generation() uint64 { return t.leader.Generation }
 
+// PreviousGeneration returns the generation of the preceding term, or 0.
+func (t *Term) PreviousGeneration() uint64 { return t.previous }
+
 // SinceLastCommit returns the time since the start of the latest transaction
 // that took effect, including time in which the machine was suspended.
 func (t *Term) SinceLastCommit() time.Duration {
--- a/scheduler/term/term_test.go
+++ b/scheduler/term/term_test.go
@@ -148,10 +148,10 @@
 			t.Fatal(err)
 		}
 		leader, err := New(store, "b", 1).Leader(t.Context())
-		if err != nil || leader.Name != "" || leader.Generation != 1 {
+		if err != nil || leader.Name != "" || leader.Generation != TokensPerTerm {
 			t.Errorf("leader %+v, error %v", leader, err)
 		}
-		if second := acquireTerm(t, store, "b"); second.Generation() != 2 {
+		if second := acquireTerm(t, store, "b"); second.Generation() != 2*TokensPerTerm {
 			t.Errorf("generation %d", second.Generation())
 		}
 	})
