--- a/scheduler/template/template.go
+++ b/scheduler/template/template.go
@@ -133,13 +133,16 @@
 	}
 }
 
-// Subscribe returns a channel that receives each new snapshot. A slow receiver
-// gets only the latest one. stop ends the subscription.
+// Subscribe returns a channel that receives the current snapshot, if one was read, and
+// each new one. A slow receiver gets only the latest one. stop ends the subscription.
 func (c *Catalogue) Subscribe() (snapshots <-chan *Snapshot, stop func()) {
 	ch := make(chan *Snapshot, 1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.subscribers[ch] = true
+	if c.snapshot.version > 0 {
+		ch <- c.snapshot
+	}
 	return ch, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/scheduler/template/template_test.go
+++ b/scheduler/template/template_test.go
@@ -290,6 +290,32 @@
 	return count
 }
 
+// Guards against a subscriber that never learns of the configuration, if that was read
+// before the subscription and does not change any more.
+func TestSubscriptionStartsWithTheCurrentSnapshot(t *testing.T) {
+	for name, c := range map[string]struct{ teams, want int }{"none read": {0, 0}, "read before": {1, 1}} {
+		t.Run(name, func(t *testing.T) {
+			catalogue := newCatalogue(memory.New(memory.Config{Seed: 1}).Table)
+			for i := range c.teams {
+				if _, err := catalogue.PutTeam(t.Context(), newTeam(fmt.Sprint("pumps", i), func(*schema.Team) {}), 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+			snapshots, stop := catalogue.Subscribe()
+			defer stop()
+			got := 0
+			select {
+			case s := <-snapshots:
+				got = len(s.Teams())
+			default:
+			}
+			if got != c.want {
+				t.Errorf("a snapshot of %d teams at once, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a stale read that reverts an accepted change, which happens if
 // lower versions are activated.
 func TestNeverReverts(t *testing.T) {
