ingress: TestHeadsMakeRoom sends its last request once the heads were read

The test failed by chance with "status 503, want 200" (25 of 1,200 plays on one machine, 10 of 1,200 on another). It sent the last request before the server had read all stalled heads; the request was then among the oldest when these needed room, and refusing it is right. The limiter is not at fault.

The test waits until each of the 20 heads holds its whole charge or was refused; its checks are unchanged. 1,200 of 1,200 plays hold.

--- a/scheduler/ingress/limiter_test.go
+++ b/scheduler/ingress/limiter_test.go
@@ -123,6 +123,24 @@
 	s.t.Fatalf("%d connections and %d bytes, want %d and %d", o, h, open, held)
 }
 
+// awaitHeads waits until each of n connections has been refused or holds a whole head of
+// the given charge.
+func (s *testServer) awaitHeads(n int, charge int64) {
+	s.t.Helper()
+	var open, refused int
+	var held int64
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		refused = int(s.limiter.refusals[reasonBytes].Get())
+		s.limiter.mu.Lock()
+		open, held = s.limiter.open, s.limiter.held
+		s.limiter.mu.Unlock()
+		if open+refused == n && held == int64(open)*charge {
+			return
+		}
+	}
+	s.t.Fatalf("%d connections hold %d bytes and %d are refused, want %d with %d bytes each", open, held, refused, n, charge)
+}
+
 func TestBodies(t *testing.T) {
 	content := strings.Repeat("b", maxTestBody)
 	tests := []struct {
@@ -181,12 +199,16 @@
 	limits := testLimits()
 	limits.Bytes = 256 << 10
 	s := newTestServer(t, limits)
+	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("x:\r\n", 1000)
 	var stalled []*client
 	for range 20 {
 		c := s.dial()
-		c.send("GET / HTTP/1.1\r\nHost: h\r\n", strings.Repeat("x:\r\n", 1000))
+		c.send(head)
 		stalled = append(stalled, c)
 	}
+	// A request that arrives before these heads have been read is among the oldest when
+	// they need room.
+	s.awaitHeads(len(stalled), int64(len(head)+lineBytes*strings.Count(head, "\n")))
 	c := s.dial()
 	c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	if status := c.status(); status != http.StatusOK {
