control: TestUrgentGangAvoidsUnknownWorkers teaches more before it checks

The test failed by chance (29 of 1,200 plays; 5 of 600 on this machine). Traced from the speeds in failing plays: the two slow workers count as 0.65 to 0.79 of the typical one instead of 0.4, and w03, which ran the same first job, as 1.2 to 1.95 instead of 1. Jobs compare the workers that run them, and only that job ran on both slow workers and others. Which of them counts as the odd one depends on the order of the first polls. At 0.67 the gang of 1 s takes 1.49 s, within its objective of 1.5 s, so that the unknown worker is rightly taken. The placing is not at fault; the estimates are of the quality that 8 jobs allow.

The test plays 24 jobs instead of 8; its checks are unchanged. 1,500 of 1,500 plays hold. With the speed of unknown workers left out of the product, 20 of 20 plays of the changed test fail.

--- a/scheduler/control/speed_test.go
+++ b/scheduler/control/speed_test.go
@@ -31,11 +31,13 @@
 				p.Timing.CheckpointInterval = interval
 				p.mu.Unlock()
 				time.Sleep(settleTime)
-				for i := range 8 {
+				// With a third of these jobs too few compare the slow workers with others
+				// for their speed to be learned, depending on which polls come first.
+				for i := range 24 {
 					f.submit(p, batchJob(fmt.Sprint("teach", i), "later", "a", "2s",
 						batch.Step{Tasks: 16, Need: batch.Resources{MilliCPU: 16000, Accelerators: 1}}))
 				}
-				time.Sleep(20 * time.Second)
+				time.Sleep(time.Minute)
 				f.runners["w00"].Restart()
 				time.Sleep(3 * time.Second)
 				f.submit(p, batchJob("g", "urgent", "a", "1s", gang(3, 8)))
