entry: an instance that has just started passes on few submissions

The instance with the planner held 101 to 154 MB where its limit is 96 MB (TestCrowdOfJobsAtAllInstances, red by chance: 11 of 20 and 11 of 16 runs).

Cause: submissionLimit divides what all instances may pass on to the planner by the members that an instance knows. In the first 0.3 s after a common start that is often itself alone, so each took the whole amount.

Change: until the second listing of the instances, 2 s after its start, an instance passes on no more than minSubmissionBytes at a time.

TestSubmissionLimitOfAnInstanceThatHasJustStarted: before, "8388608 bytes, want 131072" in 2 of 3 cases; passes now. TestCrowdOfJobsAtAllInstances alone: 10 of 10 runs hold.

--- a/daisylugd/entry/entry.go
+++ b/daisylugd/entry/entry.go
@@ -106,14 +106,16 @@
 	planner           atomic.Pointer[control.Planner]
 	router            *relay.Router
 	submissions       submissionBudget
-	draining          atomic.Bool
+	// othersKnownAt is when the instances that have started with this one are known.
+	othersKnownAt time.Time
+	draining      atomic.Bool
 }
 
 // New returns an instance that Run starts.
 func New(settings Settings, services Services, set *meter.Set, log klog.Logger) *Server {
 	e := &Server{
 		settings: settings, services: services, log: log, metrics: set,
-		incarnation: uint64(time.Now().UnixMicro()),
+		incarnation: uint64(time.Now().UnixMicro()), othersKnownAt: time.Now().Add(membershipTime),
 	}
 	e.SetSeeds(settings.Seeds)
 	self := platform.Instance{
--- a/daisylugd/entry/submissions.go
+++ b/daisylugd/entry/submissions.go
@@ -13,6 +13,9 @@
 	// minSubmissionBytes is the least that an instance may pass on at a time: two of
 	// the largest jobs.
 	minSubmissionBytes = 128 << 10
+	// membershipTime is how long an instance takes to know those that have started with
+	// it: the time between two listings of the instances.
+	membershipTime = 2 * time.Second
 	// defaultMemory is the memory of an instance if the settings state none.
 	defaultMemory = 256 << 20
 	// submissionTimeout is how long a submission waits for others before the attempt
@@ -63,8 +66,12 @@
 }
 
 // submissionLimit returns how many bytes of submissions this instance may pass on at
-// a time. The planner's memory is taken for the own one.
+// a time: its part of what all may, and the least as long as it may not know the others.
+// The planner's memory is taken for the own one.
 func (e *Server) submissionLimit() int64 {
+	if time.Now().Before(e.othersKnownAt) {
+		return minSubmissionBytes
+	}
 	memory := e.settings.Memory
 	if memory <= 0 {
 		memory = defaultMemory
--- a/daisylugd/entry/submissions_test.go
+++ b/daisylugd/entry/submissions_test.go
@@ -5,7 +5,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"daisylug.example/scheduler/member"
+	"daisylug.example/scheduler/platform"
 )
 
 // Guards against more submissions on their way than the planner has memory for, and
@@ -46,3 +50,28 @@
 		t.Errorf("%d bytes are still held", b.held)
 	}
 }
+
+// Guards against an instance that has just started, knows only itself and passes on what
+// all instances together may, while the others do the same.
+func TestSubmissionLimitOfAnInstanceThatHasJustStarted(t *testing.T) {
+	const memory = 96 << 20
+	share := submissionShare * float64(memory)
+	for name, c := range map[string]struct {
+		age  time.Duration
+		want int64
+	}{
+		"just started": {0, minSubmissionBytes}, "before the second listing": {membershipTime - time.Millisecond, minSubmissionBytes},
+		"after it": {membershipTime, int64(share)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &Server{settings: Settings{Memory: memory}, group: member.New(platform.Instance{Name: "a"}, nil, nil)}
+				e.othersKnownAt = time.Now().Add(membershipTime)
+				time.Sleep(c.age)
+				if got := e.submissionLimit(); got != c.want {
+					t.Errorf("%d bytes, want %d", got, c.want)
+				}
+			})
+		})
+	}
+}
