control: no start is repeated at another process of its worker

Cause: handleRestart carried placements whose start had no response over to the new process, and prepareStart repeated the start there, although the registry named another process than the one that had been chosen.

In addition no start is sent while the registry names another process than the planner knows; the next poll then finds the restart.

--- a/scheduler/control/cluster_test.go
+++ b/scheduler/control/cluster_test.go
@@ -281,6 +281,9 @@
 	f.unlisted[r.Info().ID] = true
 }
 
+// awaitRegistry waits until a planner has read the registry.
+func (f *testCluster) awaitRegistry() { time.Sleep(registryPollInterval + 10*time.Millisecond) }
+
 // list restores the registry entry of a worker.
 func (f *testCluster) list(r *memory.Runner) {
 	f.mu.Lock()
--- a/scheduler/control/command.go
+++ b/scheduler/control/command.go
@@ -67,10 +67,10 @@
 		}
 		w := pl.worker
 		now := time.Now()
-		if w.failedPolls >= maxFailedPolls && try > 0 || w.fencing() || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod || p.isIsolated(pl.job) {
-			// The next successful poll shows whether the worker, or its new process, has the run.
-			// After a long time without a transaction another planner may be
-			// active.
+		if w.failedPolls >= maxFailedPolls && try > 0 || w.restarting() || p.Term.SinceLastCommit() > LeaseRenewalGracePeriod || p.isIsolated(pl.job) {
+			// The next successful poll shows whether the worker has the run, and
+			// whether it is still the process that was chosen. After a long time
+			// without a transaction another planner may be active.
 			return
 		}
 		if err := p.checkStart(w); err != nil {
--- a/scheduler/control/process.go
+++ b/scheduler/control/process.go
@@ -43,6 +43,10 @@
 	return w.fencedIncarnation != 0 && w.fencedIncarnation != w.incarnation
 }
 
+// restarting reports whether the worker may not be the process that the planner knows:
+// the registry lists another one, or that has not answered its token yet.
+func (w *worker) restarting() bool { return w.incarnation != w.info.Incarnation || w.fencing() }
+
 // handleRestart processes a new process of a worker, which rejects all orders to the
 // former one. The runs that it does not list are lost.
 func (p *Planner) handleRestart(w *worker, state platform.RunnerState) {
--- a/scheduler/control/restart_test.go
+++ b/scheduler/control/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -129,6 +130,42 @@
 	}
 }
 
+// TestStartIsNotRepeatedAtAnotherKind guards against a start without a response that is
+// repeated at a later process of its worker although that lacks the required label.
+func TestStartIsNotRepeatedAtAnotherKind(t *testing.T) {
+	// The registry is read before or after the start is repeated, and the new process may
+	// be known from a poll first.
+	for _, silence := range []time.Duration{50, 150, 250, 350, 450, 700, 1500, 4300} {
+		t.Run(fmt.Sprint(silence), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestCluster(t, 3)
+				for _, r := range f.runners {
+					r.SetLabels("k")
+				}
+				p, stop := f.startPlanner()
+				defer stop()
+				time.Sleep(settleTime)
+				worker := f.runners["w01"]
+				worker.SetFaults(memory.Faults{Silent: true})
+				f.submit(p, batchJob("j", "later", "a", "9s", batch.Step{
+					Tasks: 3, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}, Label: "k",
+				}))
+				time.Sleep(silence * time.Millisecond)
+				worker.SetLabels()
+				worker.Restart()
+				f.awaitRegistry()
+				worker.SetFaults(memory.Faults{})
+				time.Sleep(5 * time.Second)
+				if n := len(worker.Starts()); n > 0 {
+					t.Errorf("%d starts on a worker without the label", n)
+				}
+				time.Sleep(20 * time.Second)
+				f.expectState(p, "later", "j", batch.JobDone)
+			})
+		})
+	}
+}
+
 // expectOneRunAtATime checks that no task has begun while it was running, or after it
 // was done.
 func (f *testCluster) expectOneRunAtATime() {
--- a/scheduler/control/worker.go
+++ b/scheduler/control/worker.go
@@ -201,7 +201,7 @@
 
 // schedulable reports whether the worker may get new tasks.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.listed && !w.info.Leaving && !w.evacuated && w.incarnation != 0 && w.incarnation == w.info.Incarnation && !w.fencing() &&
+	return w.listed && !w.info.Leaving && !w.evacuated && w.incarnation != 0 && !w.restarting() &&
 		w.failedPolls < maxFailedPolls && now.After(w.trust.RefusedUntil())
 }
 
