control: a stop of a run counts until a report shows that it starts up

Cause: consume let a run that is not available be stopped without counting, and a run was taken for available only once a report had shown it at work. The poll after a start waits up to 1 s, so the opposite was assumed for that long.

Change: a stop is free only if a report of the last 0.3 s shows that the run still starts up.

--- a/scheduler/control/budget.go
+++ b/scheduler/control/budget.go
@@ -1,6 +1,10 @@
 package control
 
-import "daisylug.example/scheduler/batch"
+import (
+	"time"
+
+	"daisylug.example/scheduler/batch"
+)
 
 // longRunningStep is a step of long-running tasks of which only a limited
 // number may be interrupted at a time.
@@ -38,9 +42,9 @@
 }
 
 // consume reports whether a run may be interrupted, and counts the
-// interruption. A task that is not available already counts as interrupted.
-func (b disruptionBudget) consume(pl *placement) bool {
-	if !pl.step.LongRunning || pl.step.MaxUnavailable == 0 || !pl.available() {
+// interruption. A task that is certainly not available already counts as interrupted.
+func (b disruptionBudget) consume(pl *placement, now time.Time) bool {
+	if !pl.step.LongRunning || pl.step.MaxUnavailable == 0 || !pl.mayBeAvailable(now) {
 		return true
 	}
 	k := longRunningStep{pl.job, stepRef{pl.id.Occurrence, pl.id.Step}}
@@ -63,6 +67,19 @@
 	return pl != nil && pl.available()
 }
 
+// startupReportAge is how old a report of a run that still starts up may be for the run
+// to count as not available.
+const startupReportAge = 300 * time.Millisecond
+
+// mayBeAvailable reports whether a long-running run may have started up by now, although
+// no report shows that yet.
+func (pl *placement) mayBeAvailable(now time.Time) bool {
+	if pl.phase != phaseRunning {
+		return pl.sent && pl.phase == phaseStarting
+	}
+	return pl.reportedProgress >= 1 || pl.reportedAt.IsZero() || now.Sub(pl.reportedAt) > startupReportAge
+}
+
 // available reports whether a long-running run has started up; its worker then
 // reports complete progress.
 func (pl *placement) available() bool {
--- a/scheduler/control/budget_test.go
+++ b/scheduler/control/budget_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"daisylug.example/scheduler/batch"
+	"daisylug.example/scheduler/platform"
+	"daisylug.example/scheduler/platform/memory"
 )
 
 // TestFewLastingTasksAreAway checks that guaranteed work which preempts several
@@ -45,3 +47,68 @@
 		})
 	}
 }
+
+// lastingStartup is after how long a long-running task is at work on a worker in memory.
+const lastingStartup = 300 * time.Millisecond
+
+// expectFewStoppedAtOnce checks that no long-running task of a job was stopped at work
+// while as many others as allowed were not at work.
+func (f *testCluster) expectFewStoppedAtOnce(id string, tasks, allowed int) {
+	f.t.Helper()
+	var spans []memory.Span
+	for _, r := range f.runners {
+		for _, s := range r.Spans() {
+			if s.Task.Job == id {
+				spans = append(spans, s)
+			}
+		}
+	}
+	for _, s := range spans {
+		if s.Outcome != platform.RunStopped || s.Ended.Sub(s.Started) < lastingStartup {
+			continue
+		}
+		atWork := 0
+		for _, other := range spans {
+			if other.Task != s.Task && s.Ended.Sub(other.Started) >= lastingStartup && (other.Ended.IsZero() || other.Ended.After(s.Ended)) {
+				atWork++
+			}
+		}
+		if away := tasks - 1 - atWork; away >= allowed {
+			f.t.Errorf("task %v is stopped at work at %v while %d others are not, %d are allowed", s.Task, s.Ended.Format("05.000"), away, allowed)
+		}
+	}
+}
+
+// TestLastingTasksThatHaveJustStarted guards against long-running tasks that are stopped
+// together because no report has shown them at work yet.
+func TestLastingTasksThatHaveJustStarted(t *testing.T) {
+	for _, age := range []time.Duration{100, 310, 400, 600, 900, 1200, 1700} {
+		age *= time.Millisecond
+		t.Run(age.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestCluster(t, 9)
+				p, stop := f.startPlanner()
+				defer stop()
+				time.Sleep(settleTime)
+				f.submit(p, batchJob("filler", "later", "b", "60s", batch.Step{
+					Tasks: 4, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8},
+				}))
+				time.Sleep(2 * time.Second)
+				f.submit(p, batchJob("l", "later", "b", "lasting", batch.Step{
+					Tasks: 5, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}, LongRunning: true, MaxUnavailable: 1,
+				}))
+				time.Sleep(age)
+				submitted := time.Now()
+				f.submit(p, batchJob("g", "urgent", "a", "9s", batch.Step{
+					Tasks: 3, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8},
+				}))
+				const reclaim = 3400 * time.Millisecond
+				time.Sleep(reclaim)
+				f.expectFewStoppedAtOnce("l", 5, 1)
+				if n := f.countStarts("g"); n != 3 {
+					t.Errorf("%d tasks of the guaranteed job have begun %v after its acceptance, want 3", n, time.Since(submitted))
+				}
+			})
+		})
+	}
+}
--- a/scheduler/control/restart_test.go
+++ b/scheduler/control/restart_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -136,7 +135,8 @@
 	// The registry is read before or after the start is repeated, and the new process may
 	// be known from a poll first.
 	for _, silence := range []time.Duration{50, 150, 250, 350, 450, 700, 1500, 4300} {
-		t.Run(fmt.Sprint(silence), func(t *testing.T) {
+		silence *= time.Millisecond
+		t.Run(silence.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newTestCluster(t, 3)
 				for _, r := range f.runners {
@@ -150,7 +150,7 @@
 				f.submit(p, batchJob("j", "later", "a", "9s", batch.Step{
 					Tasks: 3, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}, Label: "k",
 				}))
-				time.Sleep(silence * time.Millisecond)
+				time.Sleep(silence)
 				worker.SetLabels()
 				worker.Restart()
 				f.awaitRegistry()
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -264,7 +264,7 @@
 			}
 			p.processing = pl.job
 			stopping := p.endsByStop(pl, now)
-			if !stopping && (pl.phase != phaseStarting && pl.phase != phaseRunning || !budget.consume(pl)) {
+			if !stopping && (pl.phase != phaseStarting && pl.phase != phaseRunning || !budget.consume(pl, now)) {
 				continue
 			}
 			k := key{pl.job, pl.id.Occurrence, pl.id.Step, pl.id.Index, stopping}
