assignment: no run is stopped for other tasks of its own job

A guaranteed job had its own runs stopped as they started, up to 18 times in the same instant, when the rest of its tasks fitted nowhere.

Cause: a job of which no run is confirmed may have guaranteed runs stopped, and its own runs that were sent but not confirmed were among the candidates.

Change: victimsOn skips runs of the group's job, unless they end by themselves.

--- a/scheduler/assignment/assignment_test.go
+++ b/scheduler/assignment/assignment_test.go
@@ -394,6 +394,21 @@
 			}
 		}
 	})
+	// Its other tasks would stop the runs that have just been started, again and again.
+	t.Run("stops no run of the job itself", func(t *testing.T) {
+		g := taskGroup("g", 2, 8)
+		g.Guaranteed, g.NeverStarted = true, true
+		v := fullRackView(g)
+		for i := range v.Running {
+			v.Running[i].Borrowed = i == 7
+			if i < 7 {
+				v.Running[i].Job = "g"
+			}
+		}
+		if d := Decide(v); len(d.Stops) != 0 {
+			t.Errorf("stops %v", d.Stops)
+		}
+	})
 	t.Run("stops no guaranteed run", func(t *testing.T) {
 		v := fullRackView(guaranteed)
 		for i := range v.Running {
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -201,10 +201,10 @@
 	var chosen []int
 	loss := 0.0
 	for _, i := range d.victimCandidates(worker, scope) {
-		if stopped[i] {
+		r := &d.view.Running[i]
+		if stopped[i] || r.Job == g.Job && !r.endsUnstopped() {
 			continue
 		}
-		r := &d.view.Running[i]
 		for _, allocation := range r.Allocations {
 			if allocation.Worker == worker {
 				free = free.Plus(allocation.Need)
