control: a task on a worker that misses polls is unavailable

Cause: the lost one counted as available until its lease had ended, since its last report showed it at work.

Change: available() requires that the worker has answered its latest poll. A stop of such a run still counts against the limit.

--- a/scheduler/control/budget.go
+++ b/scheduler/control/budget.go
@@ -81,7 +81,7 @@
 }
 
 // available reports whether a long-running run has started up; its worker then
-// reports complete progress.
+// reports complete progress. A run on a worker that has missed a poll may be lost.
 func (pl *placement) available() bool {
-	return pl.phase == phaseRunning && pl.reportedProgress >= 1
+	return pl.phase == phaseRunning && pl.reportedProgress >= 1 && pl.worker.failedPolls == 0
 }
--- a/scheduler/control/budget_test.go
+++ b/scheduler/control/budget_test.go
@@ -112,3 +112,30 @@
 		})
 	}
 }
+
+// TestLastingTaskIsStoppedBesideALostOne guards against a long-running task that is
+// stopped for other work while one of its step is away with its silent worker.
+func TestLastingTaskIsStoppedBesideALostOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 5)
+		p, stop := f.startPlanner()
+		defer stop()
+		time.Sleep(settleTime)
+		f.submit(p, batchJob("l", "later", "b", "lasting", batch.Step{
+			Tasks: 5, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}, LongRunning: true, MaxUnavailable: 1,
+		}))
+		time.Sleep(3 * time.Second)
+		f.runners["w04"].SetFaults(memory.Faults{Silent: true})
+		const notice = 4 * time.Second
+		time.Sleep(notice)
+		f.submit(p, batchJob("g", "urgent", "a", "9s", batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8}}))
+		time.Sleep(time.Second)
+		for id, r := range f.runners {
+			for _, s := range r.Spans() {
+				if s.Task.Job == "l" && s.Outcome == platform.RunStopped {
+					t.Errorf("task %v is stopped on %s while another one is away", s.Task, id)
+				}
+			}
+		}
+	})
+}
