trust: a failing job does not keep others from its workers

Cause: an exclusion held for all jobs and doubled with each further failure, whoever's it was. TaskAtFault needs another trusted worker on which the task has failed, and there was none once both were excluded.

Evidence: in the log both workers are excluded alternately, failures 2 to 7, all of one job.

Change: while runs of one job only have failed since the latest good run, the doubled time holds for that job, and MinExclusion for the others. A failure of a second job makes the whole time hold for all.

TestFailingJobLeavesItsWorkersToOthers/small_service: "0 tasks of the gang have begun 3.4s after its acceptance, want 2" before; 50 of 50 plays hold now.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -39,8 +39,9 @@
 	// only those of groups that may serve as a trial.
 	Limited  bool
 	NewTasks int
-	// Excluded is set if no task may start.
-	Excluded bool
+	// Excluded is set if no task may start, ExcludedJob if none of that job may.
+	Excluded    bool
+	ExcludedJob string
 	// Unproven is set while no run has ended well since the latest failed ones.
 	Unproven bool
 }
--- a/scheduler/assignment/trust.go
+++ b/scheduler/assignment/trust.go
@@ -6,7 +6,7 @@
 // given trust.
 func (g *Group) TrustedTasks(t WorkerTrust, now time.Time) int {
 	switch {
-	case t.Excluded:
+	case t.Excluded, t.ExcludedJob != "" && t.ExcludedJob == g.Job:
 		return 0
 	case g.IgnoreTrust:
 		return unlimitedSlots
--- a/scheduler/control/trust.go
+++ b/scheduler/control/trust.go
@@ -98,9 +98,13 @@
 	if p.trust.spared[w] {
 		state = state.WithTrial()
 	}
+	others, failing := state.ForOthers()
+	excluded := others.Level(now) == trust.LevelExcluded
+	if excluded || state.Level(now) != trust.LevelExcluded {
+		failing = ""
+	}
 	if !p.usesTrials(w.info.Service) {
-		excluded := state.Level(now) == trust.LevelExcluded
-		return assignment.WorkerTrust{Limited: excluded, Excluded: excluded}
+		return assignment.WorkerTrust{Limited: excluded, Excluded: excluded, ExcludedJob: failing}
 	}
 	inProgress := 0
 	for _, pl := range w.placements {
@@ -112,10 +116,8 @@
 			inProgress++
 		}
 	}
-	limit, limited := state.Limits(now, inProgress)
-	return assignment.WorkerTrust{
-		Limited: limited, NewTasks: limit, Excluded: state.Level(now) == trust.LevelExcluded, Unproven: state.Unproven(),
-	}
+	limit, limited := others.Limits(now, inProgress)
+	return assignment.WorkerTrust{Limited: limited, NewTasks: limit, Excluded: excluded, ExcludedJob: failing, Unproven: state.Unproven()}
 }
 
 // applyTrust sets which workers a group may use with respect to their failures.
--- a/scheduler/control/trustgroup_test.go
+++ b/scheduler/control/trustgroup_test.go
@@ -1,12 +1,15 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"daisylug.example/scheduler/platform"
+
 	"daisylug.example/scheduler/assignment"
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/platform/memory"
@@ -298,3 +301,55 @@
 		})
 	}
 }
+
+// crashingRunner makes each run of a job fail after a second, but for the first run of its
+// second task, which lasts longer.
+type crashingRunner struct {
+	platform.Runner
+	job string
+}
+
+func (r *crashingRunner) Start(ctx context.Context, s platform.StartRequest) (time.Duration, error) {
+	if s.Task.Job == r.job {
+		s.Payload = "1s fail"
+		if s.Task.Index == 1 && s.Number == 1 {
+			s.Payload = "5500ms fail"
+		}
+	}
+	return r.Runner.Start(ctx, s)
+}
+
+// TestFailingJobLeavesItsWorkersToOthers guards against a guaranteed gang that never
+// begins, because the only workers that it can use are excluded in turn while the tasks
+// of another team's job fail there again and again.
+func TestFailingJobLeavesItsWorkersToOthers(t *testing.T) {
+	for name, large := range map[string]int{"small service": 100, "service with trials": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestCluster(t, 11)
+				for _, id := range []string{"w03", "w08"} {
+					f.runners[id].SetLabels("k")
+				}
+				f.wrapRunner = func(r platform.Runner) platform.Runner { return &crashingRunner{r, "l"} }
+				p, stop := f.startPlanner()
+				defer stop()
+				p.mu.Lock()
+				p.LargeServiceWorkers = large
+				p.mu.Unlock()
+				time.Sleep(settleTime)
+				f.submit(p, batchJob("l", "later", "b", "lasting", batch.Step{
+					Tasks: 2, Need: batch.Resources{MilliCPU: 1000}, LongRunning: true, Label: "k", MaxPerWorker: 1,
+				}))
+				time.Sleep(22 * time.Second)
+				g := gang(2, 4)
+				g.Label, g.Adjacent, g.MaxPerWorker = "k", false, 1
+				f.submit(p, batchJob("g", "urgent", "a", "9s", g))
+				const reclaim = 3400 * time.Millisecond
+				time.Sleep(reclaim)
+				if n := f.countStarts("g"); n != 2 {
+					t.Errorf("%d tasks of the gang have begun %v after its acceptance, want 2", n, reclaim)
+				}
+			})
+		})
+	}
+}
--- a/scheduler/trust/record.go
+++ b/scheduler/trust/record.go
@@ -27,7 +27,7 @@
 // or another version may contain, are limited.
 func Restore(r Record, now time.Time) State {
 	return State{
-		failures: max(r.Failures, 0), several: true, allowance: min(max(r.Allowance, 0), fullAllowance-1),
+		failures: max(r.Failures, 0), several: true, severalJobs: true, allowance: min(max(r.Allowance, 0), fullAllowance-1),
 		since: earlier(r.Since, now), exclusion: min(max(r.Exclusion, 0), MaxExclusion),
 		excludedUntil: earlier(r.ExcludedUntil, now.Add(MaxExclusion)),
 		openFrom:      earlier(r.OpenFrom, now.Add(MaxExclusion+trialTimeout)),
--- a/scheduler/trust/trust.go
+++ b/scheduler/trust/trust.go
@@ -58,9 +58,9 @@
 	// failures counts the failed runs since the latest good one.
 	failures int
 	// task is the task whose run failed first of these; several is set if runs of
-	// other tasks have failed as well.
-	task    batch.TaskID
-	several bool
+	// other tasks have failed as well, severalJobs if runs of other jobs have.
+	task                 batch.TaskID
+	several, severalJobs bool
 	// allowance is the number of tasks that may be in progress, or 0 for no limit.
 	allowance int
 	// since is when the limit was set or lowered. Runs that started earlier are no
@@ -97,9 +97,10 @@
 	counts := s.allowance > 0 || s.failures >= toleratedFailures || immediate && f.At.Before(s.probationUntil)
 	earlier := s.allowance > 0 && !f.Started.After(s.since)
 	if s.failures == 0 {
-		s.task, s.several = f.Task, false
+		s.task, s.several, s.severalJobs = f.Task, false, false
 	}
 	s.several = s.several || s.task != f.Task
+	s.severalJobs = s.severalJobs || s.task.Job != f.Task.Job
 	s.failures++
 	s.lastFailure = f.At
 	if !counts || earlier && s.exclusion > 0 {
@@ -224,6 +225,17 @@
 	return s
 }
 
+// ForOthers returns the state for jobs other than the only one whose runs have failed
+// since the latest good run, and that one. A job that fails wherever it runs must not keep
+// others away for longer and longer, so that only MinExclusion holds for them. If several
+// jobs have failed, the state is unchanged and the job empty.
+func (s State) ForOthers() (State, string) {
+	if s.failures == 0 || s.severalJobs {
+		return s, ""
+	}
+	return s.WithTrial(), s.task.Job
+}
+
 // Since returns when the worker was limited.
 func (s State) Since() time.Time { return s.since }
 
--- a/scheduler/trust/trust_test.go
+++ b/scheduler/trust/trust_test.go
@@ -1,6 +1,7 @@
 package trust
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -244,3 +245,34 @@
 		t.Errorf("excluded until %v, want %v", s.ExcludedUntil(), want)
 	}
 }
+
+// TestForOthers guards against a job that fails wherever it runs and so keeps other jobs
+// away from its workers.
+func TestForOthers(t *testing.T) {
+	const s = time.Second
+	other := func(started, ended time.Duration) event {
+		return func(state State) State {
+			return state.WithFailure(Failure{Task: batch.TaskID{Job: "other"}, Started: at(started), At: at(ended)})
+		}
+	}
+	twice := []event{failed(1, -s, 0), failed(2, -s, 0), failed(1, s, 2*s), failed(1, 4*s, 5*s)}
+	for name, c := range map[string]struct {
+		events []event
+		job    string
+		level  Level
+	}{
+		"no failure":          {nil, "", LevelTrusted},
+		"one job":             {twice, "j", LevelTrial},
+		"several jobs":        {append(slices.Clone(twice), other(6*s, 7*s)), "", LevelExcluded},
+		"one job after a run": {[]event{other(-s, 0), good(0, s), failed(1, s, 2*s), failed(1, 2*s, 3*s), failed(1, 4*s, 5*s)}, "j", LevelTrial},
+	} {
+		state := State{}
+		for _, e := range c.events {
+			state = e(state)
+		}
+		others, job := state.ForOthers()
+		if level := others.Level(state.LastFailure().Add(MinExclusion)); job != c.job || level != c.level {
+			t.Errorf("%s: %s for all but job %q, want %s and %q", name, level, job, c.level, c.job)
+		}
+	}
+}
