assignment: long-running tasks move in turn for a guaranteed group

Cause: the plan is made for all tasks of a group at once and may interrupt one task of the step, so that there was none, and the next decision found the same. Which run could be stopped was fixed before the plan, by the ids of the workers.

Evidence: no stop is logged in 20 s; with a job of one task a long-running task moves in 0.2 s.

Change: View.Budgets holds how many more tasks of each step may be interrupted, and the plan chooses within it. If a budget keeps a guaranteed group that is not a gang from being placed, a plan is made for half of its tasks, a quarter, down to one.

--- a/scheduler/assignment/assignment.go
+++ b/scheduler/assignment/assignment.go
@@ -148,6 +148,9 @@
 	// ExpectedEnd is when the run is expected to end by itself, or zero if it does not.
 	ExpectedEnd time.Time
 	Allocations []Allocation
+	// Interrupts is the number of tasks that a stop interrupts, which count against
+	// the budget at the position Budget of View.Budgets.
+	Interrupts, Budget int
 }
 
 // Allocation is the resources that a run uses on one worker.
@@ -165,6 +168,9 @@
 	IgnoreMemory bool
 	Groups       []Group
 	Running      []Running
+	// Budgets holds how many more tasks of each step of long-running tasks may be
+	// interrupted.
+	Budgets []int
 	// Reserve is the number of accelerators to keep free for expected urgent
 	// work.
 	Reserve int64
@@ -272,6 +278,10 @@
 	beforeLift []batch.Resources
 	// releases caches the room that runs are expected to free.
 	releases []release
+	// interrupted counts the tasks that the decision interrupts, by position in
+	// View.Budgets. withheld is set if a budget has kept a run from being stopped.
+	interrupted []int
+	withheld    bool
 	// startedLimited counts the tasks started by this decision on workers whose
 	// trust is limited, by position in the view.
 	startedLimited map[int]int
@@ -281,7 +291,7 @@
 }
 
 func newDecider(v View) *decider {
-	d := &decider{view: v, free: make([]batch.Resources, len(v.Workers))}
+	d := &decider{view: v, free: make([]batch.Resources, len(v.Workers)), interrupted: make([]int, len(v.Budgets))}
 	for i := range v.Workers {
 		d.free[i] = v.Workers[i].Free
 	}
--- a/scheduler/assignment/preemption.go
+++ b/scheduler/assignment/preemption.go
@@ -56,11 +56,29 @@
 		d.ignoresStopping = true
 		defer func() { d.ignoresStopping = false }()
 	}
-	if best, reason := d.guaranteePlan(g); best != nil {
+	d.withheld = false
+	best, reason := d.guaranteePlan(g)
+	if best == nil && d.withheld && !g.Gang {
+		best, reason = d.partialPlan(g)
+	}
+	if best != nil {
 		d.applyPlan(position, best, reason)
 	}
 }
 
+// partialPlan returns a plan for some of the tasks of a guaranteed group, or nil. More
+// runs may be stopped once long-running tasks that were stopped are back elsewhere.
+func (d *decider) partialPlan(g *Group) (*plan, StopReason) {
+	for n := len(g.Indexes) / 2; n > 0; n /= 2 {
+		part := *g
+		part.Indexes = g.Indexes[:n]
+		if best, reason := d.guaranteePlan(&part); best != nil {
+			return best, reason
+		}
+	}
+	return nil, ""
+}
+
 // guaranteePlan returns the plan that makes room for a guaranteed group, or nil.
 func (d *decider) guaranteePlan(g *Group) (*plan, StopReason) {
 	planned := g.afterWait()
@@ -80,6 +98,7 @@
 	for _, v := range p.victims {
 		r := &d.view.Running[v]
 		if !r.endsUnstopped() {
+			d.interrupt(r)
 			d.result.Stops = append(d.result.Stops, v)
 			d.result.StopCauses = append(d.result.StopCauses, cause)
 		}
@@ -151,8 +170,8 @@
 	if !d.fitsWhenEmpty(g, workers) {
 		return nil
 	}
-	before := slices.Clone(d.free)
-	defer func() { d.free = before }()
+	before, interrupted := slices.Clone(d.free), slices.Clone(d.interrupted)
+	defer func() { d.free, d.interrupted = before, interrupted }()
 	p := &plan{}
 	stopped := map[int]bool{}
 	planned := map[int]int{}
@@ -164,6 +183,9 @@
 		for _, r := range victims {
 			stopped[r] = true
 			d.releaseRun(r)
+			if run := &d.view.Running[r]; !run.endsUnstopped() {
+				d.interrupt(run)
+			}
 		}
 		p.victims = append(p.victims, victims...)
 		p.loss += loss
@@ -199,12 +221,19 @@
 		return nil, 0, true
 	}
 	var chosen []int
+	interrupted := d.interrupted
+	defer func() { d.interrupted = interrupted }()
+	d.interrupted = slices.Clone(interrupted)
 	loss := 0.0
 	for _, i := range d.victimCandidates(worker, scope) {
 		r := &d.view.Running[i]
 		if stopped[i] || r.Job == g.Job && !r.endsUnstopped() {
 			continue
 		}
+		if !r.endsUnstopped() && !d.interrupt(r) {
+			d.withheld = true
+			continue
+		}
 		for _, allocation := range r.Allocations {
 			if allocation.Worker == worker {
 				free = free.Plus(allocation.Need)
@@ -258,6 +287,19 @@
 	return byWorker[worker]
 }
 
+// interrupt counts the tasks that a stop of the run interrupts, and reports false if they
+// exceed the budget of their step.
+func (d *decider) interrupt(r *Running) bool {
+	if r.Interrupts == 0 {
+		return true
+	}
+	if d.interrupted[r.Budget]+r.Interrupts > d.view.Budgets[r.Budget] {
+		return false
+	}
+	d.interrupted[r.Budget] += r.Interrupts
+	return true
+}
+
 // releaseRun adds the allocations of a run to the free resources.
 func (d *decider) releaseRun(running int) {
 	for _, allocation := range d.view.Running[running].Allocations {
--- a/scheduler/control/budget.go
+++ b/scheduler/control/budget.go
@@ -13,14 +13,17 @@
 	step stepRef
 }
 
-// disruptionBudget is the number of tasks of each such step that may be
-// interrupted now.
-type disruptionBudget map[longRunningStep]int
+// disruptionBudgets holds how many tasks of each such step may be interrupted now,
+// and the position of each step.
+type disruptionBudgets struct {
+	allowed   []int
+	positions map[longRunningStep]int
+}
 
-// newDisruptionBudget returns the budget of the live jobs. The caller holds the
+// newDisruptionBudgets returns the budgets of the live jobs. The caller holds the
 // lock.
-func (p *Planner) newDisruptionBudget() disruptionBudget {
-	budget := disruptionBudget{}
+func (p *Planner) newDisruptionBudgets() disruptionBudgets {
+	budgets := disruptionBudgets{positions: map[longRunningStep]int{}}
 	for j := range p.liveJobs() {
 		for step := range j.spec.Steps {
 			s := &j.spec.Steps[step]
@@ -34,22 +37,23 @@
 						unavailable++
 					}
 				}
-				budget[longRunningStep{j, stepRef{occurrence, step}}] = s.MaxUnavailable - unavailable
+				budgets.positions[longRunningStep{j, stepRef{occurrence, step}}] = len(budgets.allowed)
+				budgets.allowed = append(budgets.allowed, s.MaxUnavailable-unavailable)
 			}
 		}
 	}
-	return budget
+	return budgets
 }
 
-// consume reports whether a run may be interrupted, and counts the
-// interruption. A task that is certainly not available already counts as interrupted.
-func (b disruptionBudget) consume(pl *placement, now time.Time) bool {
+// index returns the position of the budget against which a stop of the run counts, and
+// false if there is none. A task that is certainly not available already counts as
+// interrupted.
+func (b disruptionBudgets) index(pl *placement, now time.Time) (int, bool) {
 	if !pl.step.LongRunning || pl.step.MaxUnavailable == 0 || !pl.mayBeAvailable(now) {
-		return true
+		return 0, false
 	}
-	k := longRunningStep{pl.job, stepRef{pl.id.Occurrence, pl.id.Step}}
-	b[k]--
-	return b[k] >= 0
+	n, ok := b.positions[longRunningStep{pl.job, stepRef{pl.id.Occurrence, pl.id.Step}}]
+	return n, ok
 }
 
 // taskAvailable reports whether a task of a job is available. The caller holds
--- a/scheduler/control/budget_test.go
+++ b/scheduler/control/budget_test.go
@@ -139,3 +139,43 @@
 		}
 	})
 }
+
+// TestGuaranteedTasksWaitForMovesInTurn guards against a guaranteed job that begins
+// nothing because its tasks together need more long-running ones to move than may be
+// unavailable at a time.
+func TestGuaranteedTasksWaitForMovesInTurn(t *testing.T) {
+	for name, c := range map[string]struct{ tasks, allowed int }{"two of one": {2, 1}, "three of one": {3, 1}, "four of two": {4, 2}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const workers = 9
+				f := newTestCluster(t, workers)
+				p, stop := f.startPlanner()
+				defer stop()
+				time.Sleep(settleTime)
+				half := batch.Step{Tasks: workers, Need: batch.Resources{MilliCPU: 1000, Accelerators: 4}, MaxPerWorker: 1}
+				f.submit(p, batchJob("filler", "later", "b", "3s", half))
+				time.Sleep(time.Second)
+				half.MaxPerWorker, half.LongRunning, half.MaxUnavailable = 0, true, c.allowed
+				f.submit(p, batchJob("l", "later", "b", "lasting", half))
+				time.Sleep(5 * time.Second)
+				f.submit(p, batchJob("g", "urgent", "a", "9s", batch.Step{
+					Tasks: c.tasks, Need: batch.Resources{MilliCPU: 1000, Accelerators: 8},
+				}))
+				const reclaim = 3400 * time.Millisecond
+				time.Sleep(reclaim)
+				begun := map[int]bool{}
+				for _, r := range f.runners {
+					for _, s := range r.Starts() {
+						if s.Task.Job == "g" {
+							begun[s.Task.Index] = true
+						}
+					}
+				}
+				if len(begun) != c.tasks {
+					t.Errorf("%d tasks of the guaranteed job have begun %v after its acceptance, want %d", len(begun), reclaim, c.tasks)
+				}
+				f.expectFewStoppedAtOnce("l", workers, c.allowed)
+			})
+		})
+	}
+}
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -256,7 +256,8 @@
 		stopping         bool
 	}
 	indexes := map[key]int{}
-	budget := p.newDisruptionBudget()
+	budgets := p.newDisruptionBudgets()
+	v.input.Budgets = budgets.allowed
 	for i, w := range v.workers {
 		for _, pl := range w.placements {
 			if p.isIsolated(pl.job) {
@@ -264,7 +265,7 @@
 			}
 			p.processing = pl.job
 			stopping := p.endsByStop(pl, now)
-			if !stopping && (pl.phase != phaseStarting && pl.phase != phaseRunning || !budget.consume(pl, now)) {
+			if !stopping && pl.phase != phaseStarting && pl.phase != phaseRunning {
 				continue
 			}
 			k := key{pl.job, pl.id.Occurrence, pl.id.Step, pl.id.Index, stopping}
@@ -287,6 +288,10 @@
 			if stopping {
 				continue
 			}
+			if n, ok := budgets.index(pl, now); ok {
+				r.Interrupts++
+				r.Budget = n
+			}
 			r.LostWork += p.lostWork(pl, now)
 			r.EndsSoon = p.endsSoon(pl, now)
 			if end := p.expectedEnd(pl, now); !pl.step.LongRunning && end.After(r.ExpectedEnd) {
