control: failing long-running tasks of a step take turns

Cause: each failure excludes the worker for the job for up to 8 s, and waiting tasks start in the order of their numbers, so that the first one is waiting again whenever a worker is open.

Change: the waiting tasks of a long-running step are ordered by their runs, the fewest first.

--- a/scheduler/control/trustgroup_test.go
+++ b/scheduler/control/trustgroup_test.go
@@ -353,3 +353,39 @@
 		})
 	}
 }
+
+// TestFailingTasksTakeTurns guards against a long-running task that is not restarted,
+// because another one of its step fails again and again and takes each worker that is
+// open.
+func TestFailingTasksTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 11)
+		for _, id := range []string{"w03", "w08"} {
+			f.runners[id].SetLabels("k")
+		}
+		f.wrapRunner = func(r platform.Runner) platform.Runner { return &crashingRunner{r, "l"} }
+		p, stop := f.startPlanner()
+		defer stop()
+		p.mu.Lock()
+		p.LargeServiceWorkers = 100
+		p.mu.Unlock()
+		time.Sleep(settleTime)
+		f.submit(p, batchJob("l", "later", "b", "lasting", batch.Step{
+			Tasks: 2, Need: batch.Resources{MilliCPU: 1000}, LongRunning: true, Label: "k", MaxPerWorker: 1,
+		}))
+		time.Sleep(time.Minute)
+		latest := map[int]time.Time{}
+		for _, r := range f.runners {
+			for _, s := range r.Spans() {
+				if s.Started.After(latest[s.Task.Index]) {
+					latest[s.Task.Index] = s.Started
+				}
+			}
+		}
+		for i := range 2 {
+			if since := time.Since(latest[i]); since > 2*trust.MaxExclusion+time.Second {
+				t.Errorf("task %d was not started for %v", i, since)
+			}
+		}
+	})
+}
--- a/scheduler/control/view.go
+++ b/scheduler/control/view.go
@@ -133,6 +133,10 @@
 			if len(waiting) == 0 || j.spec.Steps[step].Gang && len(waiting) < len(s.Tasks) {
 				continue
 			}
+			if j.spec.Steps[step].LongRunning {
+				// Those that fail more often leave a turn to the others.
+				slices.SortStableFunc(waiting, func(a, b int) int { return cmp.Compare(s.Tasks[a].Run, s.Tasks[b].Run) })
+			}
 			g := p.newGroup(v, j, occurrence, step, due)
 			g.Indexes = waiting
 			ref := stepRef{occurrence, step}
