--- a/scheduler/control/restart_test.go
+++ b/scheduler/control/restart_test.go
@@ -10,6 +10,7 @@
 	"daisylug.example/scheduler/batch"
 	"daisylug.example/scheduler/platform"
 	"daisylug.example/scheduler/platform/memory"
+	"daisylug.example/scheduler/term"
 )
 
 // heldCall is the first start of a cluster. It gets no response and is carried out
@@ -250,3 +251,26 @@
 		f.expectOneRunAtATime()
 	})
 }
+
+// TestTokensUsedUp guards against tokens of a term that reach those of the next one, which
+// a worker would then not follow.
+func TestTokensUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestCluster(t, 1)
+		p, stop := f.startPlanner()
+		defer stop()
+		time.Sleep(settleTime)
+		p.mu.Lock()
+		p.tokensUsed = term.TokensPerTerm - 2
+		last, after := p.nextToken(), p.nextToken()
+		p.mu.Unlock()
+		if next := p.Term.Generation() + term.TokensPerTerm; last >= next || after >= next {
+			t.Errorf("tokens %d and %d, want less than %d", last, after, next)
+		}
+		time.Sleep(time.Second)
+		leader, err := term.New(f.store, "x", 1).Leader(t.Context())
+		if err != nil || leader.Name != "" {
+			t.Errorf("leader %q, error %v, want none after the planner has resigned", leader.Name, err)
+		}
+	})
+}
