control: TestPanicOutlivesTerm makes its job faulty before a planner hears of it

Traced: the test takes the steps of the job away once the planner runs. If the test is paused before that, the third planner reads the registry, hears of the end of the run, stores it and drops the job at the same virtual time ("job ended" in the log).

The first read of the registry takes 1 ms of virtual time now, so that no worker is heard of before the job is faulty.

--- a/scheduler/control/containment_test.go
+++ b/scheduler/control/containment_test.go
@@ -74,6 +74,8 @@
 		f.submit(p, batchJob("bad", "later", "a", "3s", gang(2, 8)))
 		time.Sleep(time.Second)
 		stop()
+		// No planner hears of a run, which may have ended, before the job is faulty.
+		f.registryDelay = time.Millisecond
 		for term := range 3 {
 			p, stop = f.startPlanner()
 			p.mu.Lock()
