--- a/scheduler/control/restart_test.go
+++ b/scheduler/control/restart_test.go
@@ -29,14 +29,29 @@
 	result  error
 }
 
+// call returns the held start and its worker.
+func (h *heldCall) call() (*memory.Runner, platform.StartRequest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.worker, h.request
+}
+
 // deliver carries the held start out.
 func (h *heldCall) deliver() {
-	_, err := h.worker.Start(context.Background(), h.request)
+	worker, request := h.call()
+	_, err := worker.Start(context.Background(), request)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.result = err
 }
 
+// rejected reports whether the held start was delivered and rejected.
+func (h *heldCall) rejected() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.result != nil
+}
+
 // holdingRunner holds the first start of the cluster.
 type holdingRunner struct {
 	platform.Runner
@@ -108,21 +123,22 @@
 					}
 					time.Sleep(2 * time.Second)
 				}
+				worker, request := held.call()
 				if c.pause > 0 {
-					f.unlist(held.worker)
+					f.unlist(worker)
 					time.Sleep(c.pause)
-					f.list(held.worker)
+					f.list(worker)
 				}
 				// The next run begins elsewhere.
-				held.worker.SetLabels()
-				held.worker.Restart()
+				worker.SetLabels()
+				worker.Restart()
 				time.Sleep(4 * time.Second)
 				if c.deliverAt == 0 {
 					held.deliver()
 				}
 				time.Sleep(time.Second)
-				if held.result == nil {
-					t.Errorf("the late start of %v was carried out", held.request.Run)
+				if !held.rejected() {
+					t.Errorf("the late start of %v was carried out", request.Run)
 				}
 				f.expectOneRunAtATime()
 			})
@@ -211,23 +227,31 @@
 	return r.Runner.RenewLease(ctx, request)
 }
 
+// first returns the first dropped poll, and false if there is none.
+func (r *latePollRunner) first() (platform.RenewLeaseRequest, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.dropped) == 0 {
+		return platform.RenewLeaseRequest{}, false
+	}
+	return r.dropped[0], true
+}
+
 // TestLatePollReachesRestartedWorker guards against a poll without a response that is
 // carried out by a later process of its worker and makes that process forget ends.
 func TestLatePollReachesRestartedWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestCluster(t, 1)
-		var late *latePollRunner
-		f.wrapRunner = func(r platform.Runner) platform.Runner {
-			late = &latePollRunner{Runner: r.(*memory.Runner)}
-			return late
-		}
+		late := &latePollRunner{Runner: f.runners["w00"]}
+		f.wrapRunner = func(platform.Runner) platform.Runner { return late }
 		p, stop := f.startPlanner()
 		defer stop()
 		single := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 1000}}
 		time.Sleep(settleTime)
 		f.submit(p, batchJob("before", "later", "a", "100ms", single))
 		time.Sleep(2 * time.Second)
-		if len(late.dropped) == 0 {
+		dropped, ok := late.first()
+		if !ok {
 			t.Fatal("no poll was dropped")
 		}
 		worker := f.runners["w00"]
@@ -239,7 +263,7 @@
 		worker.SetFaults(memory.Faults{Outage: true})
 		time.Sleep(200 * time.Millisecond)
 		worker.SetFaults(memory.Faults{})
-		_, err := worker.RenewLease(t.Context(), late.dropped[0])
+		_, err := worker.RenewLease(t.Context(), dropped)
 		if err == nil {
 			t.Error("the late poll was carried out")
 		}
